Serve one request path end to end between separate processes

Cause: the project had no code.

Change: nine Maven modules; core types, the closed state machine of an attempt, restart and configuration decisions; supervisor tree, HTTP front end, target client and request executor; stand-ins for the platform and pools; the program with its first sub-commands; formatter and linter.

Ruled out: reuse of idle connections to targets. Every call opens its own connection, so that a connection that fell silent while idle is never used.

Conclusion: the path runs over real sockets; everything else builds on it.

--- /dev/null
+++ b/core/src/main/kotlin/org/sapphirelever/core/Finding.kt
@@ -0,0 +1,52 @@
+/*
+ * Findings of a validation. A validation collects every fault with its place and reports them
+ * together, so that a user corrects a file or a set of flags in one pass.
+ */
+package org.sapphirelever.core
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+
+/**
+ * Place of a finding.
+ *
+ * @property source file name, `flag`, `environment` or `request`
+ * @property line line in the file, from 1, or 0 where lines do not apply
+ * @property field path of the field, for example `pipelines[0].stages[2].service`
+ */
+public data class Place(
+    public val source: String,
+    public val line: Int = 0,
+    public val field: String = ""
+) {
+    override fun toString(): String = buildString {
+        append(source)
+        if (line > 0) append(":").append(line)
+        if (field.isNotEmpty()) append(" ").append(field)
+    }
+}
+
+/** One fault at one place. */
+public data class Finding(public val place: Place, public val message: String) {
+    override fun toString(): String = "$place: $message"
+}
+
+/** Collects findings while a validation runs. */
+public class FindingCollector {
+    private var collected: PersistentList<Finding> = persistentListOf()
+
+    public val findings: PersistentList<Finding> get() = collected
+
+    /** Records [message] at [place] unless [condition] holds. */
+    public fun require(condition: Boolean, place: Place, message: () -> String) {
+        if (!condition) collected = collected.add(Finding(place, message()))
+    }
+
+    public fun report(place: Place, message: String) {
+        collected = collected.add(Finding(place, message))
+    }
+}
+
+/** Runs [check] and returns all findings it recorded. */
+public fun collectFindings(check: FindingCollector.() -> Unit): PersistentList<Finding> =
+    FindingCollector().apply(check).findings
--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/attempt/RequestProgress.kt
@@ -0,0 +1,49 @@
+/*
+ * Progress of a whole request through its stages, and the outcome that its attempts permit.
+ */
+package org.sapphirelever.decisions.attempt
+
+import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.Outcome
+import org.sapphirelever.core.RetryAdvice
+import org.sapphirelever.core.SideEffects
+import org.sapphirelever.core.StageName
+
+/**
+ * What the attempts of a request so far prove.
+ *
+ * @property anyStageRan whether a target may have started any stage
+ * @property sideEffects what is known of stages that must not repeat
+ */
+public data class RequestProgress(
+    public val anyStageRan: Boolean = false,
+    public val sideEffects: SideEffects = SideEffects.NONE
+) {
+    /** Progress after an attempt at a stage ended with [result]. */
+    public fun after(result: AttemptResult, idempotent: Boolean): RequestProgress = when (result) {
+        is AttemptResult.NotRun -> this
+
+        is AttemptResult.Answered -> ran(if (idempotent) SideEffects.NONE else SideEffects.DONE)
+
+        is AttemptResult.MayHaveRun ->
+            ran(if (idempotent) SideEffects.NONE else SideEffects.POSSIBLE)
+
+        is AttemptResult.Failed ->
+            ran(if (idempotent) SideEffects.NONE else SideEffects.POSSIBLE)
+    }
+
+    /** Outcome of a request that ends at [stage] with [code] and cannot complete. */
+    public fun failure(
+        code: ErrorCode,
+        stage: StageName?,
+        retry: RetryAdvice = RetryAdvice.NEVER,
+        detail: String = ""
+    ): Outcome = when {
+        !anyStageRan -> Outcome.NotRun(code, retry, stage, detail)
+        sideEffects == SideEffects.POSSIBLE -> Outcome.Unknown(code, stage, detail)
+        else -> Outcome.FailedAfterRunning(code, stage, sideEffects, retry, detail)
+    }
+
+    private fun ran(effects: SideEffects): RequestProgress =
+        copy(anyStageRan = true, sideEffects = sideEffects.and(effects))
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/supervision/RestartPolicy.kt
@@ -0,0 +1,79 @@
+/*
+ * Restart decisions of a supervisor. The runtime reports failures of children; the decision says
+ * which children to restart and after what delay, or that the supervisor itself fails.
+ */
+package org.sapphirelever.decisions.supervision
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.sapphirelever.core.MonotonicTime
+
+/** Which children a failure of one child restarts. */
+public enum class Strategy { ONE_FOR_ONE, ONE_FOR_ALL, REST_FOR_ONE }
+
+/**
+ * Restart policy of a supervisor.
+ *
+ * @property firstDelay delay before the first restart
+ * @property factor growth of the delay with each restart inside the window
+ * @property greatestDelay upper bound of the delay
+ * @property restarts restarts permitted inside [window] before the supervisor fails
+ */
+public data class RestartPolicy(
+    public val strategy: Strategy = Strategy.ONE_FOR_ONE,
+    public val firstDelay: Duration = 100.milliseconds,
+    public val factor: Int = 2,
+    public val greatestDelay: Duration = 5.seconds,
+    public val restarts: Int = 10,
+    public val window: Duration = 60.seconds
+)
+
+/** Times of the restarts inside the window, oldest first. */
+public data class RestartHistory(
+    public val times: PersistentList<MonotonicTime> = persistentListOf()
+)
+
+/** What a supervisor does after the failure of a child. */
+public sealed interface RestartDecision {
+    /** Restart the children at [indices] after [delay]. */
+    public data class Restart(
+        public val indices: IntRange,
+        public val delay: Duration,
+        public val history: RestartHistory
+    ) : RestartDecision
+
+    /** The failures exceed the permitted intensity; the supervisor fails. */
+    public data object Escalate : RestartDecision
+}
+
+/** Decides on the failure of the child at [index] of [children] children. */
+public fun RestartPolicy.onFailure(
+    history: RestartHistory,
+    index: Int,
+    children: Int,
+    now: MonotonicTime
+): RestartDecision {
+    val recent = history.times.filter { now - it <= window }.toPersistentList()
+    if (recent.size >= restarts) return RestartDecision.Escalate
+    return RestartDecision.Restart(
+        indices = affected(index, children),
+        delay = delay(recent.size),
+        history = RestartHistory(recent.add(now))
+    )
+}
+
+private fun RestartPolicy.affected(index: Int, children: Int): IntRange = when (strategy) {
+    Strategy.ONE_FOR_ONE -> index..index
+    Strategy.ONE_FOR_ALL -> 0 until children
+    Strategy.REST_FOR_ONE -> index until children
+}
+
+private fun RestartPolicy.delay(earlier: Int): Duration {
+    var delay = firstDelay
+    repeat(earlier) { delay = (delay * factor).coerceAtMost(greatestDelay) }
+    return delay
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/HostSettings.kt
@@ -0,0 +1,37 @@
+/*
+ * Settings of an entry host, after they have been checked.
+ */
+package org.sapphirelever.runtime.host
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.HostId
+
+/**
+ * Settings of one entry host.
+ *
+ * @property http address for callers and operators
+ * @property peer address for other entry hosts
+ * @property balancerDelay time between turning unready and refusing new requests
+ * @property drainLimit longest wait for requests in flight at a planned stop
+ * @property bodyLimit greatest size of a request body, in bytes
+ */
+public data class HostSettings(
+    public val host: HostId,
+    public val dataCentre: DataCentre,
+    public val http: Endpoint,
+    public val peer: Endpoint,
+    public val platform: Endpoint,
+    public val seeds: List<Endpoint> = emptyList(),
+    public val balancerDelay: Duration = 5.seconds,
+    public val drainLimit: Duration = 60.seconds,
+    public val bodyLimit: Int = DEFAULT_BODY_LIMIT,
+    public val randomSeed: Long = 0
+) {
+    public companion object {
+        /** 4 MiB: an intake file with several photographs as text. */
+        public const val DEFAULT_BODY_LIMIT: Int = 4 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
@@ -0,0 +1,116 @@
+/*
+ * HTTP front end of an entry host: requests of callers, the resource API, health and metrics.
+ * Each request runs in the coroutine of its call.
+ */
+package org.sapphirelever.runtime.http
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.io.readByteArray
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.SapphireleverException
+import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.wire.ErrorMessage
+import org.sapphirelever.wire.FindingMessage
+import org.sapphirelever.wire.MessageJson
+
+/** A group of routes that belong to one topic. */
+public fun interface Routes {
+    public fun Routing.install()
+}
+
+/** Serves [routes] at [endpoint] until it is cancelled. */
+public class HttpFrontEnd(private val endpoint: Endpoint, private val routes: List<Routes>) {
+    public suspend fun run() {
+        val server: EmbeddedServer<*, *> =
+            embeddedServer(CIO, port = endpoint.port, host = endpoint.address) {
+                routing { routes.forEach { with(it) { install() } } }
+            }
+        server.startSuspend(wait = false)
+        try {
+            awaitCancellation()
+        } finally {
+            server.stop(GRACE_MILLIS, STOP_LIMIT_MILLIS)
+        }
+    }
+
+    private companion object {
+        const val GRACE_MILLIS = 0L
+        const val STOP_LIMIT_MILLIS = 500L
+    }
+}
+
+/** Answers [call] with the result of [handle], or with the coded error that it throws. */
+public suspend fun answer(call: ApplicationCall, handle: suspend () -> Unit) {
+    try {
+        handle()
+    } catch (cancelled: CancellationException) {
+        throw cancelled
+    } catch (failure: SapphireleverException) {
+        call.respondError(failure.code, failure.message.orEmpty(), failure.toFindings())
+    } catch (failure: SerializationException) {
+        call.respondError(ErrorCode.MALFORMED_REQUEST, failure.message.orEmpty())
+    } catch (failure: Exception) {
+        logWarning("handler-failed") {
+            "path" to call.request.local.uri
+            "failure" to failure
+        }
+        call.respondError(ErrorCode.INTERNAL, ErrorCode.INTERNAL.meaning)
+    }
+}
+
+/** Body of the call as text of at most [limit] bytes. */
+public suspend fun ApplicationCall.readText(limit: Int): String {
+    val bytes = receiveChannel().readRemaining(limit + 1L).readByteArray()
+    if (bytes.size > limit) {
+        throw SapphireleverException(ErrorCode.BODY_TOO_LARGE, "the limit is $limit bytes")
+    }
+    return bytes.decodeToString()
+}
+
+public suspend fun ApplicationCall.respondJson(
+    text: String,
+    status: HttpStatusCode = HttpStatusCode.OK
+) {
+    respondText(text, ContentType.Application.Json, status)
+}
+
+private suspend fun ApplicationCall.respondError(
+    code: ErrorCode,
+    detail: String,
+    findings: List<FindingMessage> = emptyList()
+) {
+    val message = ErrorMessage(code.text, detail, findings)
+    respondJson(MessageJson.encodeToString(message), HttpStatusCode.fromValue(code.httpStatus))
+}
+
+private fun SapphireleverException.toFindings(): List<FindingMessage> = findings.map {
+    FindingMessage(it.place.source, it.place.line, it.place.field, it.message)
+}
+
+/** Routes that the balancer asks: liveness and readiness. */
+public fun healthRoutes(ready: () -> Boolean): Routes = Routes {
+    get("/healthz") { call.respondText("up\n") }
+    get("/readyz") {
+        if (ready()) {
+            call.respondText("ready\n")
+        } else {
+            call.respondText("not ready\n", status = HttpStatusCode.ServiceUnavailable)
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/CallerMessages.kt
@@ -0,0 +1,134 @@
+/*
+ * Messages between callers and entry hosts, as JSON. docs/api.md describes them for users.
+ */
+package org.sapphirelever.wire
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.sapphirelever.core.Outcome
+import org.sapphirelever.core.RetryAdvice
+import org.sapphirelever.core.SideEffects
+
+/** JSON of all HTTP messages. Unknown fields are ignored, so that versions can be mixed. */
+public val MessageJson: Json =
+    Json {
+        ignoreUnknownKeys = true
+        encodeDefaults = true
+        explicitNulls = false
+    }
+
+/** A request of a caller. [deadlineMillis] is remaining time in milliseconds. */
+@Serializable
+public data class RequestMessage(
+    public val pipeline: String,
+    public val organisation: String,
+    public val deadlineMillis: Long,
+    public val input: String,
+    public val priority: String? = null,
+    public val key: String? = null,
+    public val declaredTokens: Int? = null,
+    public val stream: Boolean = false
+)
+
+/** Whether and after what time to send the request again. */
+@Serializable
+public data class RetryMessage(public val again: Boolean, public val afterMillis: Long)
+
+/** One stage of a finished request. */
+@Serializable
+public data class StageMessage(
+    public val stage: String,
+    public val target: String,
+    public val attempts: Int,
+    public val millis: Long
+)
+
+/** Reply to a request, or the last event of its stream. */
+@Serializable
+public data class OutcomeMessage(
+    public val request: String,
+    public val host: String,
+    public val outcome: String,
+    public val code: String,
+    public val stage: String? = null,
+    public val sideEffects: String? = null,
+    public val retry: RetryMessage? = null,
+    public val answer: String? = null,
+    public val detail: String? = null,
+    public val stages: List<StageMessage> = emptyList()
+)
+
+/** One token of a streaming answer; [index] counts from 0. */
+@Serializable
+public data class TokenMessage(public val index: Int, public val text: String)
+
+/** Asks for a key for an at-most-once request. */
+@Serializable
+public data class KeyRequestMessage(public val organisation: String)
+
+/** A key and the time for which it is valid. */
+@Serializable
+public data class KeyMessage(public val key: String, public val validMillis: Long)
+
+/** Reply to a call that failed before it became a request. */
+@Serializable
+public data class ErrorMessage(
+    public val code: String,
+    public val detail: String,
+    public val findings: List<FindingMessage> = emptyList()
+)
+
+/** One finding of a validation. */
+@Serializable
+public data class FindingMessage(
+    public val source: String,
+    public val line: Int,
+    public val field: String,
+    public val message: String
+)
+
+/** Reply that carries [outcome]. */
+public fun outcomeMessage(
+    request: String,
+    host: String,
+    outcome: Outcome,
+    stages: List<StageMessage>
+): OutcomeMessage {
+    val message =
+        OutcomeMessage(
+            request = request,
+            host = host,
+            outcome = outcome.text,
+            code = outcome.code.text,
+            stages = stages
+        )
+    return when (outcome) {
+        is Outcome.Complete -> message.copy(answer = outcome.answer)
+
+        is Outcome.NotRun ->
+            message.copy(
+                stage = outcome.stage?.value,
+                sideEffects = SideEffects.NONE.text,
+                retry = outcome.retry.toMessage(),
+                detail = outcome.detail
+            )
+
+        is Outcome.Unknown ->
+            message.copy(
+                stage = outcome.stage?.value,
+                sideEffects = SideEffects.POSSIBLE.text,
+                retry = RetryAdvice.NEVER.toMessage(),
+                detail = outcome.detail
+            )
+
+        is Outcome.FailedAfterRunning ->
+            message.copy(
+                stage = outcome.stage?.value,
+                sideEffects = outcome.sideEffects.text,
+                retry = outcome.retry.toMessage(),
+                detail = outcome.detail
+            )
+    }
+}
+
+private fun RetryAdvice.toMessage(): RetryMessage = RetryMessage(again, after.inWholeMilliseconds)
