Add the boundary between key ownership and the links to other hosts

Cause: key ownership and peer links are built by different hands at once. Ruled out: a direct dependency of the request path on peer sockets, since decisions on keys must be testable without them.

--- a/wire/src/main/kotlin/org/sapphirelever/wire/CallerMessages.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/CallerMessages.kt
@@ -132,3 +132,18 @@
 }
 
 private fun RetryAdvice.toMessage(): RetryMessage = RetryMessage(again, after.inWholeMilliseconds)
+
+/**
+ * A key that has been used, as handed over by a stopping host.
+ *
+ * @property fingerprint hash of the request, by which another use of the key is recognised
+ * @property validMillis time until the key expires
+ * @property outcome outcome of the request, or null if it is not known
+ */
+@Serializable
+public data class KeyClaimMessage(
+    public val key: String,
+    public val fingerprint: String,
+    public val validMillis: Long,
+    public val outcome: OutcomeMessage? = null
+)
