Stop entry hosts gracefully, count burn and metrics, fix supervisor

Cause: a signal cut requests off, no metrics existed, and a child that ended by its own timeout or cancellation was neither restarted nor removed, so its supervisor waited for it for ever. Change: decisions.shutdown with its runtime part and call gate; Prometheus metrics; burn history and GET /v1/report; errors of requests tell the outcome; the supervisor treats a cancellation that is not its own as a failure; a tree that gives up ends the host with exit code 70. Ruled out: counting in each route, which new routes would forget. Conclusion: SupervisorTest failed for this fault before the fix (timeout of 10 s of virtual time) and passes now, as do the tables of shutdown and burn.

--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/shutdown/ShutdownState.kt
@@ -0,0 +1,138 @@
+/*
+ * Graceful shutdown of an entry host. The first signal turns the host unready and starts the
+ * balancer delay; then new requests are refused while those in flight finish, within a bound;
+ * then the stop steps run. A second signal skips all waits.
+ */
+package org.sapphirelever.decisions.shutdown
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.sapphirelever.core.ExitCode
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.decisions.Decision
+import org.sapphirelever.decisions.decide
+
+/** Phases of a shutdown, in their order. */
+public enum class ShutdownPhase { SERVING, ANNOUNCED, DRAINING, STEPPING, STOPPED }
+
+/**
+ * Progress of a shutdown.
+ *
+ * @property balancerDelay time in which the balancer notices that the host is unready
+ * @property drainLimit longest wait for requests in flight after the balancer delay
+ * @property until end of the wait of the present phase
+ * @property inFlight description of each unfinished call, by its number
+ */
+public data class ShutdownState(
+    public val balancerDelay: Duration,
+    public val drainLimit: Duration,
+    public val phase: ShutdownPhase = ShutdownPhase.SERVING,
+    public val until: MonotonicTime = MonotonicTime.ZERO,
+    public val inFlight: PersistentMap<Long, String> = persistentMapOf()
+) {
+    /** Whether the host is in the balancer's view. */
+    public val announcesReady: Boolean get() = phase == ShutdownPhase.SERVING
+
+    /** Whether a new call is admitted; calls during the balancer delay still are. */
+    public val admits: Boolean get() = phase <= ShutdownPhase.ANNOUNCED
+}
+
+public sealed interface ShutdownEvent {
+    /** SIGTERM or SIGINT. */
+    public data object Signal : ShutdownEvent
+
+    public data class CallArrived(public val call: Long, public val label: String) : ShutdownEvent
+
+    public data class CallEnded(public val call: Long) : ShutdownEvent
+
+    /** The wait of the present phase may have ended. */
+    public data object Tick : ShutdownEvent
+
+    public data object StepsEnded : ShutdownEvent
+}
+
+public sealed interface ShutdownAction {
+    public data object Admit : ShutdownAction
+
+    /** Answer the call with the code `stopping`; it does not run. */
+    public data object Refuse : ShutdownAction
+
+    /** Send a tick at [time]. */
+    public data class TickAt(public val time: MonotonicTime) : ShutdownAction
+
+    /** Run the stop steps, in their order. */
+    public data object RunSteps : ShutdownAction
+
+    /** The call described by [label] ends without its answer. */
+    public data class ReportCutOff(public val label: String) : ShutdownAction
+
+    public data class Exit(public val code: ExitCode) : ShutdownAction
+}
+
+/** Decides on [event] at [now]. */
+public fun ShutdownState.on(
+    event: ShutdownEvent,
+    now: MonotonicTime
+): Decision<ShutdownState, ShutdownAction> = when (event) {
+    ShutdownEvent.Signal -> onSignal(now)
+    is ShutdownEvent.CallArrived -> onArrival(event)
+    is ShutdownEvent.CallEnded -> copy(inFlight = inFlight.remove(event.call)).advance(now)
+    ShutdownEvent.Tick -> advance(now)
+    ShutdownEvent.StepsEnded -> onStepsEnded()
+}
+
+private fun ShutdownState.onSignal(now: MonotonicTime): Decision<ShutdownState, ShutdownAction> =
+    when (phase) {
+        ShutdownPhase.SERVING -> {
+            val end = now + balancerDelay
+            copy(phase = ShutdownPhase.ANNOUNCED, until = end).decide(ShutdownAction.TickAt(end))
+        }
+
+        ShutdownPhase.STOPPED -> decide()
+
+        else -> cutShort()
+    }
+
+private fun ShutdownState.cutShort(): Decision<ShutdownState, ShutdownAction> {
+    val actions = cutOff() + ShutdownAction.Exit(ExitCode.CUT_SHORT)
+    return copy(phase = ShutdownPhase.STOPPED).decide(*actions.toTypedArray())
+}
+
+private fun ShutdownState.cutOff(): List<ShutdownAction> =
+    inFlight.toSortedMap().values.map { ShutdownAction.ReportCutOff(it) }
+
+private fun ShutdownState.onArrival(
+    event: ShutdownEvent.CallArrived
+): Decision<ShutdownState, ShutdownAction> {
+    if (!admits) return decide(ShutdownAction.Refuse)
+    return copy(inFlight = inFlight.put(event.call, event.label)).decide(ShutdownAction.Admit)
+}
+
+private fun ShutdownState.advance(now: MonotonicTime): Decision<ShutdownState, ShutdownAction> =
+    when (phase) {
+        ShutdownPhase.ANNOUNCED -> if (now < until) decide() else startDrain(now)
+
+        ShutdownPhase.DRAINING ->
+            if (inFlight.isEmpty() || now >= until) startSteps() else decide()
+
+        else -> decide()
+    }
+
+private fun ShutdownState.startDrain(now: MonotonicTime): Decision<ShutdownState, ShutdownAction> {
+    if (inFlight.isEmpty()) return startSteps()
+    val end = now + drainLimit
+    return copy(phase = ShutdownPhase.DRAINING, until = end).decide(ShutdownAction.TickAt(end))
+}
+
+private fun ShutdownState.startSteps(): Decision<ShutdownState, ShutdownAction> {
+    val actions = cutOff() + ShutdownAction.RunSteps
+    return copy(phase = ShutdownPhase.STEPPING).decide(*actions.toTypedArray())
+}
+
+private fun ShutdownState.onStepsEnded(): Decision<ShutdownState, ShutdownAction> =
+    if (phase == ShutdownPhase.STEPPING) {
+        copy(phase = ShutdownPhase.STOPPED).decide(ShutdownAction.Exit(ExitCode.SUCCESS))
+    } else {
+        decide()
+    }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -6,6 +6,10 @@
 
 import java.util.UUID
 import kotlin.random.Random
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import org.sapphirelever.core.ExitCode
 import org.sapphirelever.core.Incarnation
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.SystemMonotonicClock
@@ -25,21 +29,27 @@
 import org.sapphirelever.runtime.http.Routes
 import org.sapphirelever.runtime.http.healthRoutes
 import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.runtime.metrics.BurnRecorder
+import org.sapphirelever.runtime.metrics.PrometheusMetrics
+import org.sapphirelever.runtime.metrics.RequestMetricsFanOut
 import org.sapphirelever.runtime.request.RequestExecutor
 import org.sapphirelever.runtime.request.RequestRoutes
 import org.sapphirelever.runtime.resource.ResourceRoutes
 import org.sapphirelever.runtime.supervision.Supervisor
+import org.sapphirelever.runtime.supervision.SupervisorFailedException
 import org.sapphirelever.runtime.supervision.supervisor
 import org.sapphirelever.runtime.target.TargetClient
 
-/** One entry host. [run] serves until it is cancelled. */
+/** One entry host. [run] serves until a signal stops it, it gives up, or it is cancelled. */
 public class EntryHost(
     private val settings: HostSettings,
     private val platform: Platform,
     client: TargetClient,
     policy: TargetPolicy = LeastOutstandingPolicy,
     clock: MonotonicClock = SystemMonotonicClock,
-    random: Random = Random(settings.randomSeed)
+    random: Random = Random(settings.randomSeed),
+    stopSteps: List<StopStep> = emptyList()
 ) {
     public val incarnation: Incarnation = Incarnation(UUID.randomUUID().toString())
 
@@ -47,19 +57,56 @@
     private val routing = StateCell(RoutingState())
     private val dispatcher = ImmediateDispatcher(routing, policy, clock, random)
     private val executor = RequestExecutor(dispatcher, client, clock)
+    private val shutdown =
+        GracefulShutdown(settings.balancerDelay, settings.drainLimit, clock, stopSteps)
+    private val burn = BurnRecorder(settings.host, settings.objective, clock)
+    private val metrics =
+        PrometheusMetrics(
+            revision = { configuration.value.inForce.revision.value },
+            outstanding = { shutdown.outstanding }
+        )
+    private val recorders = RequestMetricsFanOut(listOf(metrics, burn))
     private val requests =
-        RequestRoutes(settings.host, settings.bodyLimit, configuration, executor, clock)
+        RequestRoutes(
+            settings.host,
+            settings.bodyLimit,
+            configuration,
+            executor,
+            clock,
+            recorders
+        )
     private val resources =
         ResourceRoutes(settings.bodyLimit, configuration, ConfigurationWriter(platform))
 
-    public suspend fun run() {
+    /** Starts the graceful shutdown; a second call ends the host at once. */
+    public fun signal() {
+        shutdown.signal()
+    }
+
+    /** Serves and returns the exit code of the process. */
+    public suspend fun run(): ExitCode {
+        logStart()
+        val code =
+            try {
+                coroutineScope {
+                    val serving = launch { tree().run() }
+                    shutdown.awaitExit().also { serving.cancelAndJoin() }
+                }
+            } catch (failure: SupervisorFailedException) {
+                logWarning("host-gave-up") { "failure" to failure }
+                ExitCode.INTERNAL
+            }
+        logEvent("host-stopped") { "exit" to code.number }
+        return code
+    }
+
+    private fun logStart() {
         logEvent("host-started") {
             "host" to settings.host
             "incarnation" to incarnation
             "dataCentre" to settings.dataCentre
             "http" to settings.http
         }
-        tree().run()
     }
 
     private fun tree(): Supervisor =
@@ -74,8 +121,11 @@
         }
 
     private fun routes(): List<Routes> = listOf(
-        healthRoutes { configuration.value.ready },
+        callGate(shutdown),
+        healthRoutes { configuration.value.ready && shutdown.announcesReady },
         requests.routes,
-        resources.routes
+        resources.routes,
+        metrics.routes,
+        burn.routes
     )
 }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/GracefulShutdown.kt
@@ -0,0 +1,134 @@
+/*
+ * Carries out the decisions of a graceful shutdown: admits or refuses calls, waits, runs the stop
+ * steps and reports the exit code.
+ */
+package org.sapphirelever.runtime.host
+
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.ExitCode
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.SapphireleverException
+import org.sapphirelever.decisions.shutdown.ShutdownAction
+import org.sapphirelever.decisions.shutdown.ShutdownEvent
+import org.sapphirelever.decisions.shutdown.ShutdownState
+import org.sapphirelever.decisions.shutdown.on
+import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.log.logWarning
+
+/** Graceful shutdown of one process. [steps] run in their order after the last call. */
+public class GracefulShutdown(
+    balancerDelay: Duration,
+    drainLimit: Duration,
+    private val clock: MonotonicClock,
+    private val steps: List<StopStep>
+) {
+    private val state = StateCell(ShutdownState(balancerDelay, drainLimit))
+    private val calls = AtomicLong()
+    private val pending = Channel<ShutdownAction>(Channel.UNLIMITED)
+    private val exit = CompletableDeferred<ExitCode>()
+
+    /** Whether the balancer should send work here. */
+    public val announcesReady: Boolean get() = state.value.announcesReady
+
+    /** Calls that have not been answered. */
+    public val outstanding: Int get() = state.value.inFlight.size
+
+    /** Called on SIGTERM or SIGINT, from any thread. */
+    public fun signal() {
+        logEvent("signal-received") {
+            "phase" to state.value.phase
+            "outstanding" to outstanding
+        }
+        dispatch(ShutdownEvent.Signal)
+    }
+
+    /**
+     * Runs [call], which the shutdown waits for.
+     *
+     * @throws SapphireleverException with [ErrorCode.STOPPING]; then [call] was not started
+     */
+    public suspend fun <T> admit(label: String, call: suspend () -> T): T {
+        val number = calls.incrementAndGet()
+        val admitted = state.decide { it.on(ShutdownEvent.CallArrived(number, label), clock.now()) }
+        if (ShutdownAction.Refuse in admitted) throw SapphireleverException(ErrorCode.STOPPING)
+        return try {
+            call()
+        } finally {
+            dispatch(ShutdownEvent.CallEnded(number))
+        }
+    }
+
+    /** Waits for a signal and carries the shutdown out; returns the exit code of the process. */
+    public suspend fun awaitExit(): ExitCode = coroutineScope {
+        val worker = launch { for (action in pending) launch { perform(action) } }
+        val code = exit.await()
+        worker.cancel()
+        code
+    }
+
+    private fun dispatch(event: ShutdownEvent) {
+        state.decide { it.on(event, clock.now()) }.forEach { action ->
+            when (action) {
+                is ShutdownAction.Exit -> exit.complete(action.code)
+                is ShutdownAction.ReportCutOff -> reportCutOff(action)
+                else -> pending.trySend(action)
+            }
+        }
+    }
+
+    private fun reportCutOff(action: ShutdownAction.ReportCutOff) {
+        logWarning("request-cut-off") { "call" to action.label }
+    }
+
+    private suspend fun perform(action: ShutdownAction) {
+        when (action) {
+            is ShutdownAction.TickAt -> {
+                delay(action.time - clock.now())
+                dispatch(ShutdownEvent.Tick)
+            }
+
+            ShutdownAction.RunSteps -> runSteps()
+
+            else -> Unit
+        }
+    }
+
+    private suspend fun runSteps() {
+        for (step in steps) {
+            val ended = withTimeoutOrNull(STEP_LIMIT) { attempt(step) }
+            logEvent("stop-step-ended") {
+                "step" to step.name
+                "result" to (ended ?: "timeout")
+            }
+        }
+        dispatch(ShutdownEvent.StepsEnded)
+    }
+
+    private suspend fun attempt(step: StopStep): String = try {
+        step.run()
+        "done"
+    } catch (cancelled: CancellationException) {
+        currentCoroutineContext().ensureActive()
+        "failed: $cancelled"
+    } catch (failure: Exception) {
+        "failed: $failure"
+    }
+
+    private companion object {
+        /** A step that talks to a silent peer or platform must not keep the process from ending. */
+        val STEP_LIMIT = 5.seconds
+    }
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/HostSettings.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/HostSettings.kt
@@ -8,6 +8,7 @@
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.HostId
+import org.sapphirelever.decisions.burn.Objective
 
 /**
  * Settings of one entry host.
@@ -16,6 +17,7 @@
  * @property peer address for other entry hosts
  * @property balancerDelay time between turning unready and refusing new requests
  * @property drainLimit longest wait for requests in flight at a planned stop
+ * @property objective share of requests that should complete within their deadline
  * @property bodyLimit greatest size of a request body, in bytes
  */
 public data class HostSettings(
@@ -28,7 +30,8 @@
     public val balancerDelay: Duration = 5.seconds,
     public val drainLimit: Duration = 60.seconds,
     public val bodyLimit: Int = DEFAULT_BODY_LIMIT,
-    public val randomSeed: Long = 0
+    public val randomSeed: Long = 0,
+    public val objective: Objective = Objective()
 ) {
     public companion object {
         /** 4 MiB: an intake file with several photographs as text. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
@@ -5,11 +5,14 @@
 package org.sapphirelever.runtime.http
 
 import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
 import io.ktor.server.request.receiveChannel
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Routing
@@ -50,8 +53,9 @@
     }
 
     private companion object {
-        const val GRACE_MILLIS = 0L
-        const val STOP_LIMIT_MILLIS = 500L
+        /** The last answers may still be in the buffers of their connections. */
+        const val GRACE_MILLIS = 300L
+        const val STOP_LIMIT_MILLIS = 800L
     }
 }
 
@@ -95,10 +99,20 @@
     detail: String,
     findings: List<FindingMessage> = emptyList()
 ) {
-    val message = ErrorMessage(code.text, detail, findings)
+    val message = ErrorMessage(code.text, detail, findings, outcomeOf(code))
     respondJson(MessageJson.encodeToString(message), HttpStatusCode.fromValue(code.httpStatus))
 }
 
+/** Outcome that an error with [code] tells the caller of a request; null for other calls. */
+private fun ApplicationCall.outcomeOf(code: ErrorCode): String? = when {
+    request.httpMethod != HttpMethod.Post || request.path() != "/v1/requests" -> null
+
+    // An unexpected fault can strike at any moment, so nothing is known of the request.
+    code == ErrorCode.INTERNAL -> "outcome-unknown"
+
+    else -> "not-run"
+}
+
 private fun SapphireleverException.toFindings(): List<FindingMessage> = findings.map {
     FindingMessage(it.place.source, it.place.line, it.place.field, it.message)
 }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/metrics/RequestMetrics.kt
@@ -0,0 +1,85 @@
+/*
+ * What the request path tells about each request, for metrics and for the report on
+ * service-level burn.
+ */
+package org.sapphirelever.runtime.metrics
+
+import kotlin.time.Duration
+import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.OrganisationName
+import org.sapphirelever.core.Outcome
+import org.sapphirelever.core.PipelineName
+import org.sapphirelever.core.StageName
+
+/**
+ * A request that has its outcome.
+ *
+ * @property took time from its arrival to its outcome
+ * @property limit deadline of the request, as time from its arrival
+ */
+public data class FinishedRequest(
+    public val pipeline: PipelineName,
+    public val organisation: OrganisationName,
+    public val outcome: Outcome,
+    public val took: Duration,
+    public val limit: Duration
+)
+
+/**
+ * Work that one stage of one request cost.
+ *
+ * @property took time in the stage, with its waiting
+ * @property targetTime time that targets spent on all attempts
+ */
+public data class FinishedStage(
+    public val pipeline: PipelineName,
+    public val stage: StageName,
+    public val took: Duration,
+    public val targetTime: Duration,
+    public val attempts: Int,
+    public val hedges: Int = 0,
+    public val tokens: Int = 0
+)
+
+/** Receives events of the request path. Calls return at once and never fail. */
+public interface RequestMetrics {
+    public fun requestFinished(request: FinishedRequest)
+
+    public fun stageFinished(stage: FinishedStage)
+
+    /** A stage was refused before an attempt, by admission control or for want of a target. */
+    public fun refused(pipeline: PipelineName, stage: StageName, code: ErrorCode)
+
+    /** An answer that belongs to another request, stage, attempt or incarnation was dropped. */
+    public fun answersDropped(pipeline: PipelineName, stage: StageName, count: Int)
+}
+
+/** Passes each event to all of [receivers]. */
+public class RequestMetricsFanOut(private val receivers: List<RequestMetrics>) : RequestMetrics {
+    override fun requestFinished(request: FinishedRequest) {
+        receivers.forEach { it.requestFinished(request) }
+    }
+
+    override fun stageFinished(stage: FinishedStage) {
+        receivers.forEach { it.stageFinished(stage) }
+    }
+
+    override fun refused(pipeline: PipelineName, stage: StageName, code: ErrorCode) {
+        receivers.forEach { it.refused(pipeline, stage, code) }
+    }
+
+    override fun answersDropped(pipeline: PipelineName, stage: StageName, count: Int) {
+        receivers.forEach { it.answersDropped(pipeline, stage, count) }
+    }
+}
+
+/** Drops all events. */
+public object NoRequestMetrics : RequestMetrics {
+    override fun requestFinished(request: FinishedRequest): Unit = Unit
+
+    override fun stageFinished(stage: FinishedStage): Unit = Unit
+
+    override fun refused(pipeline: PipelineName, stage: StageName, code: ErrorCode): Unit = Unit
+
+    override fun answersDropped(pipeline: PipelineName, stage: StageName, count: Int): Unit = Unit
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRoutes.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRoutes.kt
@@ -20,6 +20,8 @@
 import org.sapphirelever.runtime.http.readText
 import org.sapphirelever.runtime.http.respondJson
 import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.metrics.NoRequestMetrics
+import org.sapphirelever.runtime.metrics.RequestMetrics
 import org.sapphirelever.wire.MessageJson
 import org.sapphirelever.wire.OutcomeMessage
 import org.sapphirelever.wire.RequestMessage
@@ -32,7 +34,8 @@
     private val bodyLimit: Int,
     private val configuration: StateCell<ConfigurationState>,
     private val executor: RequestExecutor,
-    private val clock: MonotonicClock
+    private val clock: MonotonicClock,
+    private val metrics: RequestMetrics = NoRequestMetrics
 ) {
     public val routes: Routes =
         Routes {
@@ -40,6 +43,7 @@
         }
 
     private suspend fun handle(call: ApplicationCall, body: String) {
+        val arrived = clock.now()
         val message = MessageJson.decodeFromString<RequestMessage>(body)
         if (!configuration.value.ready) throw SapphireleverException(ErrorCode.NOT_READY)
         val inForce = configuration.value.inForce
@@ -47,6 +51,7 @@
         val request = accept(message, id, inForce, clock.now())
         val executed = executor.execute(request, inForce)
         log(executed)
+        metrics.record(executed, clock.now() - arrived, request.deadline - arrived)
         val status = HttpStatusCode.fromValue(executed.outcome.code.httpStatus)
         call.respondJson(MessageJson.encodeToString(executed.toMessage(host)), status)
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/supervision/Supervisor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/supervision/Supervisor.kt
@@ -12,7 +12,9 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.SystemMonotonicClock
@@ -129,7 +131,10 @@
                         coroutineScope { children[index].run() }
                         null
                     } catch (cancelled: CancellationException) {
-                        throw cancelled
+                        // A timeout or cancellation of the child's own making is a failure; only
+                        // a cancellation of this job is a stop.
+                        currentCoroutineContext().ensureActive()
+                        cancelled
                     } catch (thrown: Throwable) {
                         thrown
                     }
--- a/wire/src/main/kotlin/org/sapphirelever/wire/CallerMessages.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/CallerMessages.kt
@@ -70,12 +70,17 @@
 @Serializable
 public data class KeyMessage(public val key: String, public val validMillis: Long)
 
-/** Reply to a call that failed before it became a request. */
+/**
+ * Reply to a call that failed before it became a request.
+ *
+ * @property outcome for calls that submit a request, what is known of it; otherwise null
+ */
 @Serializable
 public data class ErrorMessage(
     public val code: String,
     public val detail: String,
-    public val findings: List<FindingMessage> = emptyList()
+    public val findings: List<FindingMessage> = emptyList(),
+    public val outcome: String? = null
 )
 
 /** One finding of a validation. */
