--- /dev/null
+++ b/load/src/test/kotlin/org/sapphirelever/load/report/BurnPageTest.kt
@@ -0,0 +1,38 @@
+package org.sapphirelever.load.report
+
+import javax.xml.parsers.DocumentBuilderFactory
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.sapphirelever.decisions.burn.BurnCause
+import org.sapphirelever.decisions.burn.BurnHistory
+import org.sapphirelever.decisions.burn.Objective
+import org.sapphirelever.decisions.burn.TakenDecision
+import org.sapphirelever.decisions.burn.report
+import org.sapphirelever.wire.toHistory
+import org.sapphirelever.wire.toMessage
+
+/** Guards against hosts whose minutes are not aligned, and against text that breaks the page. */
+class BurnPageTest {
+    @Test
+    fun `reports of hosts with other clocks sum up to one page`() {
+        val cause = BurnCause("generate", "target-lost")
+        val first = BurnHistory().counting(100, null).counting(101, cause)
+        val second =
+            BurnHistory().counting(7000, null).counting(7001, null)
+                .noting(TakenDecision(7001, "b", "ejected <script> & co"))
+        val history =
+            first.toMessage("a", 0.99, now = 101).toHistory() +
+                second.toMessage("b", 0.99, now = 7001).toHistory()
+        assertEquals(listOf(-1L to 2L, 0L to 2L), history.minutes.map { it.minute to it.total })
+        val report = history.report(Objective(), now = 0)
+        val table = burnTable(report)
+        assertTrue(Regex("generate +target-lost +1 +100.0%").containsMatchIn(table), table)
+        val page = burnPage(report, history)
+        assertTrue("ejected &lt;script&gt; &amp; co" in page)
+        val plots = Regex("<svg.*?</svg>").findAll(page).map { it.value }.toList()
+        assertEquals(2, plots.size)
+        val parser = DocumentBuilderFactory.newInstance().newDocumentBuilder()
+        plots.forEach { parser.parse(it.byteInputStream()) }
+    }
+}
