Add the sub-commands, their settings and the tests of bad input

Cause: four commands with partial help, no operator client, no stable exit codes, and no test of bad input against a running host. Change: each command declares its settings; args4j parses the flags; codes and exit codes are on docs/errors.md, which a test compares with the enums. Ruled out: the sub-command handler of args4j, whose options are annotations.

--- a/cli/src/main/kotlin/org/sapphirelever/cli/Main.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/Main.kt
@@ -3,51 +3,114 @@
  */
 package org.sapphirelever.cli
 
+import java.io.PrintStream
 import kotlin.system.exitProcess
-import org.kohsuke.args4j.Argument
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.runBlocking
 import org.kohsuke.args4j.CmdLineException
-import org.kohsuke.args4j.CmdLineParser
-import org.kohsuke.args4j.spi.SubCommand
-import org.kohsuke.args4j.spi.SubCommandHandler
-import org.kohsuke.args4j.spi.SubCommands
-
-/** One sub-command; [run] returns the exit code of the process. */
-public interface Command {
-    public fun run(): Int
-}
+import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.ExitCode
+import org.sapphirelever.core.SapphireleverException
+import org.sapphirelever.core.collectFindings
+import org.sapphirelever.core.settings.ENVIRONMENT_PREFIX
+import org.sapphirelever.core.settings.SettingSources
+import org.sapphirelever.core.settings.readSettings
 
-/** Root of the command line. */
-public class CommandLine {
-    @Argument(
-        index = 0,
-        metaVar = "COMMAND",
-        required = true,
-        handler = SubCommandHandler::class,
-        usage = "host | platform-standin | pool-standin | apply"
-    )
-    @SubCommands(
-        SubCommand(name = "host", impl = HostCommand::class),
-        SubCommand(name = "platform-standin", impl = PlatformStandInCommand::class),
-        SubCommand(name = "pool-standin", impl = PoolStandInCommand::class),
-        SubCommand(name = "apply", impl = ApplyCommand::class)
+/** All sub-commands, in the order of the help text. */
+public val COMMANDS: List<Command> =
+    listOf(
+        HostCommand,
+        PlatformStandInCommand,
+        PoolStandInCommand,
+        EngineStandInCommand,
+        ServiceStandInCommand,
+        GetCommand,
+        ListCommand,
+        ApplyCommand,
+        DeleteCommand,
+        WatchCommand,
+        StatusCommand,
+        CheckCommand,
+        RequestCommand,
+        ExplainCommand,
+        LoadCommand,
+        ReportCommand
     )
-    public var command: Command? = null
+
+/** Runs the program; [environment] and the streams are parameters for the sake of tests. */
+public class Program(
+    private val environment: Map<String, String>,
+    private val output: PrintStream,
+    private val errors: PrintStream,
+    private val commands: List<Command> = COMMANDS
+) {
+    public fun run(line: List<String>): ExitCode {
+        val name = line.firstOrNull()
+        if (name == null || name == HELP || name == "help") {
+            (if (name == null) errors else output).print(overview())
+            return if (name == null) ExitCode.USAGE else ExitCode.SUCCESS
+        }
+        val command = commands.firstOrNull { it.name == name }
+        if (command == null) {
+            errors.println("unknown command '$name'")
+            errors.print(overview())
+            return ExitCode.USAGE
+        }
+        return try {
+            run(command, line.drop(1))
+        } catch (failure: CmdLineException) {
+            errors.println(failure.message)
+            errors.println("sapphirelever ${command.name} $HELP lists all settings")
+            ExitCode.USAGE
+        } catch (failure: SapphireleverException) {
+            printFailure(failure)
+            failure.code.exitCode()
+        } catch (failure: Exception) {
+            errors.println("${ErrorCode.INTERNAL.text}: $failure")
+            ExitCode.INTERNAL
+        }
+    }
+
+    private fun run(command: Command, line: List<String>): ExitCode {
+        val parsed = parseLine(command, line)
+        if (parsed.help) {
+            output.print(helpOf(command))
+            return ExitCode.SUCCESS
+        }
+        val own = environment.filterKeys { it.startsWith(ENVIRONMENT_PREFIX) }
+        val sources = SettingSources(parsed.flags.toPersistentMap(), own.toPersistentMap())
+        val known = commands.flatMap { it.settings.settings }.map { it.environment }.toSet()
+        val values =
+            readSettings(command.settings, sources, known).valid { values ->
+                with(command) { check(values) }
+            }
+        val invocation = Invocation(values, parsed.arguments, output, errors)
+        return runBlocking(Dispatchers.Default) { command.run(invocation) }
+    }
+
+    private fun printFailure(failure: SapphireleverException) {
+        errors.println("${failure.code.text}: ${failure.message}")
+        failure.findings.forEach { errors.println("  $it") }
+    }
+
+    private fun overview(): String = buildString {
+        appendLine("usage: sapphirelever COMMAND [arguments] [settings]")
+        commands.forEach { appendLine("  %-18s %s".format(it.name, it.summary)) }
+        appendLine("sapphirelever COMMAND $HELP lists the settings of a command.")
+    }
 }
 
-/** Exit code for a command line that cannot be understood. */
-public const val EXIT_USAGE: Int = 64
+/** Exit code of a process that ends with this error code. */
+internal fun ErrorCode.exitCode(): ExitCode = when (this) {
+    ErrorCode.OK -> ExitCode.SUCCESS
+    ErrorCode.INVALID_RESOURCE -> ExitCode.INVALID_RESOURCE
+    ErrorCode.INVALID_SETTING -> ExitCode.INVALID_SETTING
+    ErrorCode.PLATFORM_UNAVAILABLE, ErrorCode.NOT_READY -> ExitCode.UNAVAILABLE
+    ErrorCode.INTERNAL -> ExitCode.INTERNAL
+    else -> ExitCode.FAILURE
+}
 
 public fun main(arguments: Array<String>) {
-    val line = CommandLine()
-    val parser = CmdLineParser(line)
-    val code =
-        try {
-            parser.parseArgument(*arguments)
-            line.command?.run() ?: EXIT_USAGE
-        } catch (failure: CmdLineException) {
-            System.err.println(failure.message)
-            failure.parser.printUsage(System.err)
-            EXIT_USAGE
-        }
-    exitProcess(code)
+    exitProcess(Program(System.getenv(), System.out, System.err).run(arguments.toList()).number)
 }
--- /dev/null
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/MixType.kt
@@ -0,0 +1,27 @@
+/*
+ * Type of the settings that describe the mix of a load.
+ */
+package org.sapphirelever.cli
+
+import org.sapphirelever.core.settings.NameType
+import org.sapphirelever.core.settings.SettingType
+import org.sapphirelever.load.http.Weighted
+
+/** Names with weights, such as `chat=9,booking=1`. */
+public object MixType : SettingType<List<Weighted>> {
+    private const val GREATEST_WEIGHT = 1_000_000
+
+    override val expected: String get() = "names with weights, for example chat=9,booking=1"
+
+    override fun parse(text: String): List<Weighted>? {
+        val parts = text.split(',')
+        val parsed =
+            parts.mapNotNull { part ->
+                val weight = part.substringAfter('=', "1").toIntOrNull()
+                NameType.parse(part.substringBefore('='))?.let { name ->
+                    weight?.takeIf { it in 1..GREATEST_WEIGHT }?.let { Weighted(name, it) }
+                }
+            }
+        return parsed.takeIf { it.size == parts.size }
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ResourceCommands.kt
@@ -0,0 +1,157 @@
+/*
+ * Operator client: reads what is in force and writes desired state.
+ */
+package org.sapphirelever.cli
+
+import io.ktor.http.HttpMethod
+import java.io.File
+import java.io.IOException
+import java.util.UUID
+import kotlinx.serialization.encodeToString
+import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.ExitCode
+import org.sapphirelever.core.SapphireleverException
+import org.sapphirelever.core.settings.NumberType
+import org.sapphirelever.core.settings.SettingGroup
+import org.sapphirelever.core.settings.defaulted
+import org.sapphirelever.core.settings.optional
+import org.sapphirelever.core.settings.settings
+import org.sapphirelever.wire.ApplyMessage
+import org.sapphirelever.wire.ConfigurationMessage
+import org.sapphirelever.wire.MessageJson
+import org.sapphirelever.wire.resource.readResourceFile
+import org.sapphirelever.wire.toConfiguration
+
+private val KIND = ArgumentDeclaration("KIND", "services, pipelines or organisations")
+private val NAME = ArgumentDeclaration("NAME", "name of the resource")
+private val FILE = ArgumentDeclaration("FILE", "resource file, JSON")
+private val EXPECTED =
+    optional(
+        "expected-revision",
+        NumberType(0L..Long.MAX_VALUE, "revision"),
+        "accept the change only if this revision is in force"
+    )
+private val AFTER =
+    defaulted(
+        "after",
+        NumberType(0L..Long.MAX_VALUE, "revision"),
+        0L,
+        "print only later revisions"
+    )
+
+/** Prints one resource. */
+public object GetCommand : Command {
+    override val name: String get() = "get"
+    override val summary: String get() = "Prints one resource that is in force."
+    override val settings: SettingGroup get() = CLIENT_SETTINGS
+    override val arguments: List<ArgumentDeclaration> get() = listOf(KIND, NAME)
+
+    override suspend fun run(invocation: Invocation): ExitCode {
+        val path = "/v1/resources/${invocation.argument("KIND")}/${invocation.argument("NAME")}"
+        invocation.print(invocation.withClient { it.call(HttpMethod.Get, path) })
+        return ExitCode.SUCCESS
+    }
+}
+
+/** Prints all resources. */
+public object ListCommand : Command {
+    override val name: String get() = "list"
+    override val summary: String get() = "Prints all resources that are in force."
+    override val settings: SettingGroup get() = CLIENT_SETTINGS
+
+    override suspend fun run(invocation: Invocation): ExitCode {
+        invocation.print(invocation.withClient { it.call(HttpMethod.Get, "/v1/resources") })
+        return ExitCode.SUCCESS
+    }
+}
+
+/** Applies a resource file. */
+public object ApplyCommand : Command {
+    override val name: String get() = "apply"
+    override val summary: String get() = "Applies the resources of a file, all or none."
+    override val settings: SettingGroup = CLIENT_SETTINGS + settings { +EXPECTED }
+    override val arguments: List<ArgumentDeclaration> get() = listOf(FILE)
+
+    override suspend fun run(invocation: Invocation): ExitCode = invocation.withClient { client ->
+        val file = invocation.argument("FILE")
+        val text = readText(file)
+        val inForce =
+            MessageJson.decodeFromString<ConfigurationMessage>(
+                client.call(HttpMethod.Get, "/v1/resources")
+            )
+        val resources = readResourceFile(file, text, inForce.toConfiguration()).valid()
+        // The identity lets the host recognise this change if its reply is lost.
+        val change = UUID.randomUUID().toString()
+        val message = ApplyMessage(change, resources, invocation.values.find(EXPECTED))
+        val body = MessageJson.encodeToString(message)
+        invocation.print(client.call(HttpMethod.Post, "/v1/resources/apply", body))
+        ExitCode.SUCCESS
+    }
+}
+
+/** Deletes one resource. */
+public object DeleteCommand : Command {
+    override val name: String get() = "delete"
+    override val summary: String get() = "Deletes one resource."
+    override val settings: SettingGroup get() = CLIENT_SETTINGS
+    override val arguments: List<ArgumentDeclaration> get() = listOf(KIND, NAME)
+
+    override suspend fun run(invocation: Invocation): ExitCode {
+        val path = "/v1/resources/${invocation.argument("KIND")}/${invocation.argument("NAME")}"
+        invocation.print(invocation.withClient { it.call(HttpMethod.Delete, path) })
+        return ExitCode.SUCCESS
+    }
+}
+
+/** Prints each revision as it takes effect. */
+public object WatchCommand : Command {
+    override val name: String get() = "watch"
+    override val summary: String get() = "Prints each revision as it takes effect on the host."
+    override val settings: SettingGroup = CLIENT_SETTINGS + settings { +AFTER }
+
+    override suspend fun run(invocation: Invocation): ExitCode {
+        val path = "/v1/resources/watch?after=${invocation.values[AFTER]}"
+        invocation.withClient { client ->
+            client.follow(path) { line -> if (line.isNotBlank()) invocation.output.println(line) }
+        }
+        return ExitCode.SUCCESS
+    }
+}
+
+/** Prints the state that a host is in. */
+public object StatusCommand : Command {
+    override val name: String get() = "status"
+    override val summary: String get() = "Prints the state in force on the host."
+    override val settings: SettingGroup get() = CLIENT_SETTINGS
+
+    override suspend fun run(invocation: Invocation): ExitCode {
+        invocation.print(invocation.withClient { it.call(HttpMethod.Get, "/v1/status") })
+        return ExitCode.SUCCESS
+    }
+}
+
+/** Checks a resource file and the settings of an entry host without starting anything. */
+public object CheckCommand : Command {
+    override val name: String get() = "check"
+    override val summary: String
+        get() = "Checks a resource file and all variables of the environment, offline."
+    override val arguments: List<ArgumentDeclaration> get() = listOf(FILE)
+
+    override suspend fun run(invocation: Invocation): ExitCode {
+        val file = invocation.argument("FILE")
+        val resources = readResourceFile(file, readText(file)).valid()
+        invocation.output.println(
+            "$file is valid: ${resources.services.size} services, " +
+                "${resources.pipelines.size} pipelines, " +
+                "${resources.organisations.size} organisations"
+        )
+        return ExitCode.SUCCESS
+    }
+}
+
+/** Text of [file]. */
+internal fun readText(file: String): String = try {
+    File(file).readText()
+} catch (failure: IOException) {
+    throw SapphireleverException(ErrorCode.INVALID_RESOURCE, failure.toString(), cause = failure)
+}
--- /dev/null
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ProgramTest.kt
@@ -0,0 +1,137 @@
+package org.sapphirelever.cli
+
+import java.io.ByteArrayOutputStream
+import java.io.File
+import java.io.PrintStream
+import java.net.ServerSocket
+import kotlin.io.path.createTempFile
+import kotlin.io.path.writeText
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.ExitCode
+import org.sapphirelever.wire.MessageJson
+
+private data class ProgramCase(
+    val name: String,
+    val line: String,
+    val exit: ExitCode,
+    val printed: List<String>,
+    val environment: Map<String, String> = emptyMap()
+)
+
+/** Guards against exit codes and findings that scripts of operators cannot rely on. */
+class ProgramTest {
+    private val invalid =
+        createTempFile("resources", ".json").apply {
+            writeText("{\"services\": [{\"name\": \"A\",\n \"type\": \"plane\"}]}")
+        }
+    private val unusedPort = ServerSocket(0).use { it.localPort }
+    private val host =
+        "host --host a --data-centre b --http-port 8080 --peer-port 8081 --platform 127.0.0.1:1"
+
+    private val cases =
+        listOf(
+            ProgramCase("no command", "", ExitCode.USAGE, listOf("usage: sapphirelever COMMAND")),
+            ProgramCase("help", "--help", ExitCode.SUCCESS, COMMANDS.map { it.summary }),
+            ProgramCase("unknown", "hots", ExitCode.USAGE, listOf("unknown command 'hots'")),
+            ProgramCase("unknown flag", "host --prot 1", ExitCode.USAGE, listOf("--prot")),
+            ProgramCase("flag without value", "host --host", ExitCode.USAGE, listOf("--host")),
+            ProgramCase("missing argument", "get services", ExitCode.USAGE, listOf("NAME")),
+            ProgramCase(
+                "all findings of settings",
+                "host --http-port 0 --peer-port 99999 --data-centre X",
+                ExitCode.INVALID_SETTING,
+                listOf(
+                    "flag --host: missing",
+                    "flag --data-centre: 'X' is not valid",
+                    "flag --http-port: '0' is not valid",
+                    "flag --peer-port: '99999' is not valid",
+                    "flag --platform: missing",
+                    "environment SAPPHIRELEVER_DRAIN_LIMIT: '-1' is not valid",
+                    "environment SAPPHIRELEVER_DRAINLIMIT: no setting has this variable"
+                ),
+                mapOf("SAPPHIRELEVER_DRAIN_LIMIT" to "-1", "SAPPHIRELEVER_DRAINLIMIT" to "1")
+            ),
+            ProgramCase(
+                "variable of another command",
+                "$host --check-only",
+                ExitCode.SUCCESS,
+                listOf("settings are valid"),
+                mapOf("SAPPHIRELEVER_OUTPUT" to "json")
+            ),
+            ProgramCase(
+                "check across settings",
+                "$host --check-only",
+                ExitCode.INVALID_SETTING,
+                listOf("--peer-port: must differ from --http-port"),
+                mapOf("SAPPHIRELEVER_PEER_PORT" to "1")
+            ).let { it.copy(line = it.line.replace("8081", "8080")) },
+            ProgramCase(
+                "valid file",
+                "check ../deployments/kennel-office.json",
+                ExitCode.SUCCESS,
+                listOf("8 services, 3 pipelines, 5 organisations")
+            ),
+            ProgramCase(
+                "invalid file",
+                "check $invalid",
+                ExitCode.INVALID_RESOURCE,
+                listOf("$invalid:1 services[0].name", "$invalid:2 services[0].type")
+            ),
+            ProgramCase("no file", "check /none", ExitCode.INVALID_RESOURCE, listOf("/none")),
+            ProgramCase(
+                "no entry host",
+                "status --entry-host 127.0.0.1:$unusedPort",
+                ExitCode.UNAVAILABLE,
+                listOf("does not answer")
+            )
+        )
+
+    @Test
+    fun `each command line ends with its exit code and message`() {
+        for (case in cases) {
+            val bytes = ByteArrayOutputStream()
+            val stream = PrintStream(bytes)
+            val line = case.line.split(' ').filter { it.isNotEmpty() }
+            val exit = Program(case.environment, stream, stream).run(line)
+            assertEquals(case.exit, exit, "${case.name}: $bytes")
+            case.printed.forEach { assertTrue(it in bytes.toString(), "${case.name}: $bytes") }
+        }
+    }
+
+    @Test
+    fun `the help of each command lists all its settings with type and variable`() {
+        for (command in COMMANDS) {
+            val bytes = ByteArrayOutputStream()
+            val exit = Program(emptyMap(), PrintStream(bytes), System.err)
+                .run(listOf(command.name, HELP))
+            assertEquals(ExitCode.SUCCESS, exit)
+            command.settings.settings.forEach {
+                assertTrue("${it.flag} " in bytes.toString(), "${command.name} ${it.flag}")
+                assertTrue("[${it.environment}]" in bytes.toString(), it.environment)
+                assertTrue(it.type.expected in bytes.toString(), it.flag)
+            }
+        }
+    }
+
+    @Test
+    fun `the page of errors lists exactly the codes of the program`() {
+        val page = File("../docs/errors.md").readLines()
+        val codes =
+            ErrorCode.entries.map { "| `${it.text}` | ${it.httpStatus} | ${it.meaning} |" }
+        assertEquals(codes, page.filter { it.startsWith("| `") })
+        val exits = ExitCode.entries.map { "| ${it.number} | ${it.meaning} |" }
+        assertEquals(exits, page.filter { Regex("\\| \\d+ \\| .*").matches(it) })
+    }
+
+    @Test
+    fun `a reply is printed as a table`() {
+        val json = """{"a":1,"b":[{"x":"p","y":[1,2]},{"x":"qq"}],"c":{"d":"e"}}"""
+        val element = MessageJson.parseToJsonElement(json)
+        val expected =
+            "a                  1\nc:\n  d                  e\nb:\n  x   y\n  p   1,2\n  qq\n"
+        assertEquals(expected, tableOf(element))
+    }
+}
--- /dev/null
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
@@ -0,0 +1,169 @@
+package org.sapphirelever.runtime.host
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import java.net.ServerSocket
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.encodeToString
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.ExitCode
+import org.sapphirelever.core.FencingNumber
+import org.sapphirelever.core.HostId
+import org.sapphirelever.core.Incarnation
+import org.sapphirelever.core.resource.ServiceKind
+import org.sapphirelever.core.resource.configuration
+import org.sapphirelever.decisions.attempt.AnswerIdentity
+import org.sapphirelever.decisions.attempt.AttemptResult
+import org.sapphirelever.decisions.attempt.StageAnswer
+import org.sapphirelever.platform.LeaseResult
+import org.sapphirelever.platform.ListedHost
+import org.sapphirelever.platform.Platform
+import org.sapphirelever.platform.StoredValue
+import org.sapphirelever.platform.WriteResult
+import org.sapphirelever.runtime.target.CallResult
+import org.sapphirelever.runtime.target.TargetCall
+import org.sapphirelever.runtime.target.TargetClient
+import org.sapphirelever.runtime.target.TokenSink
+import org.sapphirelever.wire.MessageJson
+import org.sapphirelever.wire.toMessage
+
+/** A platform that holds one configuration and one target, and accepts no write. */
+internal object FixedPlatform : Platform {
+    private val document =
+        configuration {
+            service("pool", ServiceKind.PLAIN)
+            service("register", ServiceKind.PLAIN, idempotent = false)
+            organisation("krakow")
+            pipeline("chat") { listOf("a", "b", "c").forEach { stage(it, "pool") } }
+            pipeline("booking") {
+                listOf("a", "b").forEach { stage(it, "pool") }
+                stage("c", "register")
+            }
+        }
+    private val stored = StoredValue(MessageJson.encodeToString(document.toMessage()), 1)
+
+    override suspend fun read(key: String): StoredValue = stored
+
+    override suspend fun compareAndSwap(key: String, expected: Long, value: String): WriteResult =
+        WriteResult.Unavailable("fixed")
+
+    override suspend fun watch(key: String, after: Long, wait: Duration): StoredValue? =
+        if (after == 0L) stored else awaitCancellation()
+
+    override suspend fun acquireLease(
+        name: String,
+        holder: String,
+        timeToLive: Duration
+    ): LeaseResult = LeaseResult.Unclear("fixed")
+
+    override suspend fun renewLease(
+        name: String,
+        holder: String,
+        fencing: FencingNumber,
+        timeToLive: Duration
+    ): LeaseResult = LeaseResult.Unclear("fixed")
+
+    override suspend fun releaseLease(name: String, holder: String, fencing: FencingNumber): Unit =
+        Unit
+
+    override suspend fun hosts(): List<ListedHost> =
+        listOf(ListedHost("t", "pool", "here", "127.0.0.1", 1, leaving = false))
+}
+
+/** Answers each call with its input; a call whose input contains `hold` waits for [released]. */
+internal class EchoClient : TargetClient {
+    val held = CompletableDeferred<Unit>()
+    val released = CompletableDeferred<Unit>()
+
+    override suspend fun call(call: TargetCall, tokens: TokenSink): CallResult {
+        if ("hold" in call.input) {
+            held.complete(Unit)
+            released.await()
+        }
+        val identity = AnswerIdentity(call.attempt, Incarnation("t"))
+        return CallResult(AttemptResult.Answered(StageAnswer(identity, call.input, tokens = 0)))
+    }
+}
+
+/** A running entry host and a client of it. */
+internal class TestHost(
+    scope: CoroutineScope,
+    val targets: EchoClient = EchoClient(),
+    balancerDelay: Duration = 200.milliseconds,
+    steps: List<StopStep> = emptyList()
+) {
+    private val port = ServerSocket(0).use { it.localPort }
+    private val client = HttpClient(CIO) { expectSuccess = false }
+    private val settings =
+        HostSettings(
+            host = HostId("h"),
+            dataCentre = DataCentre("here"),
+            http = Endpoint("127.0.0.1", port),
+            peer = Endpoint("127.0.0.1", 0),
+            platform = Endpoint("127.0.0.1", 0),
+            balancerDelay = balancerDelay,
+            bodyLimit = BODY_LIMIT
+        )
+    private val host = EntryHost(settings, FixedPlatform, targets, stopSteps = steps)
+
+    val exit: Deferred<ExitCode> = scope.async(Dispatchers.Default) { host.run() }
+
+    fun signal() {
+        host.signal()
+    }
+
+    suspend fun awaitStatus(path: String, status: Int) {
+        while (runCatching { get(path).status.value }.getOrNull() != status) delay(10)
+    }
+
+    suspend fun get(path: String): HttpResponse = client.get("http://127.0.0.1:$port$path")
+
+    suspend fun post(path: String, body: String): HttpResponse =
+        client.post("http://127.0.0.1:$port$path") { setBody(body) }
+
+    suspend fun chat(input: String): HttpResponse = post(
+        "/v1/requests",
+        """{"pipeline":"chat","organisation":"krakow","deadlineMillis":4000,"input":"$input"}"""
+    )
+
+    suspend fun answerTo(input: String): String = chat(input).bodyAsText()
+
+    companion object {
+        const val BODY_LIMIT = 4096
+    }
+}
+
+/** Runs [test] against a ready host, within a limit that only a hang exceeds. */
+internal fun withHost(
+    steps: List<StopStep> = emptyList(),
+    balancerDelay: Duration = 200.milliseconds,
+    test: suspend CoroutineScope.(TestHost) -> Unit
+) {
+    runBlocking {
+        withTimeout(30.seconds) {
+            val host = TestHost(this, balancerDelay = balancerDelay, steps = steps)
+            host.awaitStatus("/readyz", 200)
+            // The target list is read by a task of its own.
+            while ("complete" !in host.answerTo("ready")) delay(10)
+            test(host)
+            host.exit.cancel()
+        }
+    }
+}
