--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -6,6 +6,7 @@
 
 import java.util.UUID
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.minutes
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -109,16 +110,15 @@
         }
     }
 
-    private fun tree(): Supervisor =
-        supervisor("entry-host", RestartPolicy(Strategy.REST_FOR_ONE)) {
-            supervisor("configuration", RestartPolicy(Strategy.ONE_FOR_ONE)) {
-                child("document") { ConfigurationFeed(platform, configuration).run() }
-                child("target-list") { TargetListFeed(platform, routing).run() }
-            }
-            supervisor("front-end", RestartPolicy(Strategy.ONE_FOR_ONE)) {
-                child("http") { HttpFrontEnd(settings.http, routes()).run() }
-            }
+    private fun tree(): Supervisor = supervisor("entry-host", ROOT_POLICY) {
+        supervisor("configuration", RestartPolicy(Strategy.ONE_FOR_ONE)) {
+            child("document") { ConfigurationFeed(platform, configuration).run() }
+            child("target-list") { TargetListFeed(platform, routing).run() }
+        }
+        supervisor("front-end", RestartPolicy(Strategy.ONE_FOR_ONE)) {
+            child("http") { HttpFrontEnd(settings.http, routes()).run() }
         }
+    }
 
     private fun routes(): List<Routes> = listOf(
         callGate(shutdown),
@@ -128,4 +128,14 @@
         metrics.routes,
         burn.routes
     )
+
+    internal companion object {
+        /**
+         * A part of the host that always fails gives up after 26 s with the default policy. The
+         * window of the root holds several such failures; in the default window of 60 s they
+         * would never reach the intensity, and the process would stay up without serving.
+         */
+        val ROOT_POLICY: RestartPolicy =
+            RestartPolicy(Strategy.REST_FOR_ONE, restarts = 2, window = 5.minutes)
+    }
 }
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/supervision/SupervisorTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/supervision/SupervisorTest.kt
@@ -5,6 +5,7 @@
 import kotlin.test.assertFailsWith
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.nanoseconds
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -20,6 +21,7 @@
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.decisions.supervision.RestartPolicy
 import org.sapphirelever.decisions.supervision.Strategy
+import org.sapphirelever.runtime.host.EntryHost
 
 private data class StrategyCase(val strategy: Strategy, val starts: List<String>)
 
@@ -183,4 +185,15 @@
         assertEquals(mapOf("a" to 2, "b" to 2), starts.toMap())
         job.cancelAndJoin()
     }
+
+    @Test
+    fun `a part of the entry host that always fails ends the process`() = runTest {
+        val tree =
+            supervisor("entry-host", EntryHost.ROOT_POLICY, clock()) {
+                supervisor("front-end") { child("http") { error("port in use") } }
+                child("other") { awaitCancellation() }
+            }
+        // With the default policy at the root this limit passes and the tree still restarts.
+        withTimeout(5.minutes) { assertFailsWith<SupervisorFailedException> { tree.run() } }
+    }
 }
