Run the requests of a key at most once, in the process that minted it

Cause: requests with keys ran like any other, so a second use of a key ran its non-idempotent stage again. Change: decisions/keys holds the key format and the claims; runtime/keys mints keys, lets a second use wait for the first, forwards foreign keys and hands claims over. Each event order up to length 6 on AttemptState and each order of steps up to length 7 on KeyState is enumerated by a test. Ruled out: running unclaimed keys of a predecessor on its successor. The age of such a key on the clock of its owner is not known, so an expired claim could not be told from an unused key; the successor answers claims only. Conclusion: a key runs in one incarnation or nowhere.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -24,7 +24,12 @@
 import org.sapphirelever.runtime.http.HttpFrontEnd
 import org.sapphirelever.runtime.http.Routes
 import org.sapphirelever.runtime.http.healthRoutes
+import org.sapphirelever.runtime.keys.KeyForwarder
+import org.sapphirelever.runtime.keys.KeyOwner
+import org.sapphirelever.runtime.keys.KeyedRequests
+import org.sapphirelever.runtime.keys.NoKeyForwarder
 import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.request.ConfiguredRunner
 import org.sapphirelever.runtime.request.RequestExecutor
 import org.sapphirelever.runtime.request.RequestRoutes
 import org.sapphirelever.runtime.resource.ResourceRoutes
@@ -39,7 +44,8 @@
     client: TargetClient,
     policy: TargetPolicy = LeastOutstandingPolicy,
     clock: MonotonicClock = SystemMonotonicClock,
-    random: Random = Random(settings.randomSeed)
+    random: Random = Random(settings.randomSeed),
+    forwarder: KeyForwarder = NoKeyForwarder
 ) {
     public val incarnation: Incarnation = Incarnation(UUID.randomUUID().toString())
 
@@ -47,8 +53,19 @@
     private val routing = StateCell(RoutingState())
     private val dispatcher = ImmediateDispatcher(routing, policy, clock, random)
     private val executor = RequestExecutor(dispatcher, client, clock)
-    private val requests =
-        RequestRoutes(settings.host, settings.bodyLimit, configuration, executor, clock)
+    private val runner = ConfiguredRunner(settings.host, configuration, executor, clock)
+
+    /** Requests with keys; the links to other hosts and a planned stop call it. */
+    public val keyed: KeyedRequests =
+        KeyedRequests(
+            settings.host,
+            KeyOwner(incarnation, settings.peer),
+            forwarder,
+            runner,
+            clock,
+            random
+        )
+    private val requests = RequestRoutes(settings.bodyLimit, runner, keyed)
     private val resources =
         ResourceRoutes(settings.bodyLimit, configuration, ConfigurationWriter(platform))
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRoutes.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRoutes.kt
@@ -11,6 +11,7 @@
 import org.sapphirelever.core.ErrorCode
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.OrganisationName
 import org.sapphirelever.core.RequestId
 import org.sapphirelever.core.SapphireleverException
 import org.sapphirelever.decisions.configuration.ConfigurationState
@@ -19,36 +20,32 @@
 import org.sapphirelever.runtime.http.answer
 import org.sapphirelever.runtime.http.readText
 import org.sapphirelever.runtime.http.respondJson
+import org.sapphirelever.runtime.keys.KeyedRequests
+import org.sapphirelever.runtime.keys.RequestRunner
 import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.target.TokenSink
+import org.sapphirelever.wire.KeyRequestMessage
 import org.sapphirelever.wire.MessageJson
 import org.sapphirelever.wire.OutcomeMessage
 import org.sapphirelever.wire.RequestMessage
 import org.sapphirelever.wire.StageMessage
 import org.sapphirelever.wire.outcomeMessage
 
-/** Takes requests of at most [bodyLimit] bytes and answers with their outcomes. */
-public class RequestRoutes(
+/** Checks requests against the configuration in force and executes them. */
+public class ConfiguredRunner(
     private val host: HostId,
-    private val bodyLimit: Int,
     private val configuration: StateCell<ConfigurationState>,
     private val executor: RequestExecutor,
     private val clock: MonotonicClock
-) {
-    public val routes: Routes =
-        Routes {
-            post("/v1/requests") { answer(call) { handle(call, call.readText(bodyLimit)) } }
-        }
-
-    private suspend fun handle(call: ApplicationCall, body: String) {
-        val message = MessageJson.decodeFromString<RequestMessage>(body)
+) : RequestRunner {
+    override suspend fun run(message: RequestMessage, tokens: TokenSink): OutcomeMessage {
         if (!configuration.value.ready) throw SapphireleverException(ErrorCode.NOT_READY)
         val inForce = configuration.value.inForce
         val id = RequestId(UUID.randomUUID().toString())
         val request = accept(message, id, inForce, clock.now())
-        val executed = executor.execute(request, inForce)
+        val executed = executor.execute(request, inForce, tokens)
         log(executed)
-        val status = HttpStatusCode.fromValue(executed.outcome.code.httpStatus)
-        call.respondJson(MessageJson.encodeToString(executed.toMessage(host)), status)
+        return executed.toMessage(host)
     }
 
     private fun log(executed: ExecutedRequest) {
@@ -62,6 +59,36 @@
     }
 }
 
+/** Takes requests of at most [bodyLimit] bytes and answers with their outcomes. */
+public class RequestRoutes(
+    private val bodyLimit: Int,
+    private val runner: RequestRunner,
+    private val keyed: KeyedRequests
+) {
+    public val routes: Routes =
+        Routes {
+            post("/v1/requests") { answer(call) { handle(call, call.readText(bodyLimit)) } }
+            post("/v1/keys") { answer(call) { mint(call, call.readText(bodyLimit)) } }
+        }
+
+    private suspend fun handle(call: ApplicationCall, body: String) {
+        val message = MessageJson.decodeFromString<RequestMessage>(body)
+        if (message.deadlineMillis <= 0) throw SapphireleverException(ErrorCode.DEADLINE_PASSED)
+        val outcome = run(message, TokenSink.NONE)
+        val status = HttpStatusCode.fromValue(ErrorCode.fromText(outcome.code).httpStatus)
+        call.respondJson(MessageJson.encodeToString(outcome), status)
+    }
+
+    private suspend fun run(message: RequestMessage, tokens: TokenSink): OutcomeMessage =
+        if (message.key == null) runner.run(message, tokens) else keyed.submit(message, tokens)
+
+    private suspend fun mint(call: ApplicationCall, body: String) {
+        val message = MessageJson.decodeFromString<KeyRequestMessage>(body)
+        val key = keyed.mint(OrganisationName(message.organisation))
+        call.respondJson(MessageJson.encodeToString(key))
+    }
+}
+
 /** Reply of [host] for this request. */
 public fun ExecutedRequest.toMessage(host: HostId): OutcomeMessage = outcomeMessage(
     request = request.id.value,
