--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/keys/RequestKey.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/keys/RequestKey.kt
@@ -61,13 +61,13 @@
         }
 
         private fun decode(fields: List<String>): RequestKey {
-            val (_, incarnation, address, port, organisation) = fields
+            val reader = fields.drop(1).iterator()
             return RequestKey(
-                incarnation = Incarnation(incarnation.fromBase64()),
-                peer = Endpoint(address.fromBase64(), port.toInt()),
-                organisation = OrganisationName(organisation.fromBase64()),
-                issuedAt = MonotonicTime(fields[FIELDS - 2].toLong()),
-                nonce = fields[FIELDS - 1].toLong()
+                incarnation = Incarnation(reader.next().fromBase64()),
+                peer = Endpoint(reader.next().fromBase64(), reader.next().toInt()),
+                organisation = OrganisationName(reader.next().fromBase64()),
+                issuedAt = MonotonicTime(reader.next().toLong()),
+                nonce = reader.next().toLong()
             )
         }
 
