Stream from engines, retry within a budget, hedge and explain requests

Cause: a silent or broken connection to an engine lost the request, retries had no budget, and nothing told afterwards which attempts a request made. Change: engine stages with tokens run over a stream that is resumed after silence, a break, a gap or a missing last event; other calls have a progress bound of half the remaining time where they may be repeated. The executor is split into request, stage, hedge and attempt. A connection that breaks while the target refuses a new one leaves a crash mark. Callers get tokens and one outcome as server-sent events; explanations of 10,000 requests are kept. Ruled out: resuming after a last event of another attempt, since the tokens before it may be foreign too; a restart after a token reached the caller. Conclusion: a stream ends with the whole answer or with a stated failure.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -30,6 +30,7 @@
 import org.sapphirelever.runtime.keys.NoKeyForwarder
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.request.ConfiguredRunner
+import org.sapphirelever.runtime.request.Explanations
 import org.sapphirelever.runtime.request.RequestExecutor
 import org.sapphirelever.runtime.request.RequestRoutes
 import org.sapphirelever.runtime.resource.ResourceRoutes
@@ -53,7 +54,9 @@
     private val routing = StateCell(RoutingState())
     private val dispatcher = ImmediateDispatcher(routing, policy, clock, random)
     private val executor = RequestExecutor(dispatcher, client, clock)
-    private val runner = ConfiguredRunner(settings.host, configuration, executor, clock)
+    private val explanations = Explanations()
+    private val runner =
+        ConfiguredRunner(settings.host, configuration, executor, explanations, clock)
 
     /** Requests with keys; the links to other hosts and a planned stop call it. */
     public val keyed: KeyedRequests =
@@ -65,7 +68,7 @@
             clock,
             random
         )
-    private val requests = RequestRoutes(settings.bodyLimit, runner, keyed)
+    private val requests = RequestRoutes(settings.bodyLimit, runner, keyed, explanations)
     private val resources =
         ResourceRoutes(settings.bodyLimit, configuration, ConfigurationWriter(platform))
 
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RepetitionState.kt
@@ -0,0 +1,26 @@
+/*
+ * State that decides whether a call may be repeated, shared by all requests of a host.
+ */
+package org.sapphirelever.runtime.request
+
+import java.util.concurrent.atomic.AtomicLong
+import org.sapphirelever.decisions.retry.BudgetAction
+import org.sapphirelever.decisions.retry.RetryBudget
+import org.sapphirelever.decisions.retry.StageLatencies
+import org.sapphirelever.decisions.retry.spend
+import org.sapphirelever.decisions.suspicion.SuspicionState
+import org.sapphirelever.runtime.StateCell
+
+/**
+ * Budget, latencies and suspicions. The links to other hosts read and merge [suspicion];
+ * [droppedAnswers] counts answers that belonged to another attempt.
+ */
+public class RepetitionState {
+    public val budget: StateCell<RetryBudget> = StateCell(RetryBudget())
+    public val latencies: StateCell<StageLatencies> = StateCell(StageLatencies())
+    public val suspicion: StateCell<SuspicionState> = StateCell(SuspicionState())
+    public val droppedAnswers: AtomicLong = AtomicLong()
+
+    /** Takes a token for a retry or hedge; false if there is none. */
+    public fun spend(): Boolean = budget.decide { it.spend() }.single() == BudgetAction.PERMIT
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRoutes.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRoutes.kt
@@ -5,6 +5,7 @@
 
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
+import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import java.util.UUID
 import kotlinx.serialization.encodeToString
@@ -36,6 +37,7 @@
     private val host: HostId,
     private val configuration: StateCell<ConfigurationState>,
     private val executor: RequestExecutor,
+    private val explanations: Explanations,
     private val clock: MonotonicClock
 ) : RequestRunner {
     override suspend fun run(message: RequestMessage, tokens: TokenSink): OutcomeMessage {
@@ -44,6 +46,7 @@
         val id = RequestId(UUID.randomUUID().toString())
         val request = accept(message, id, inForce, clock.now())
         val executed = executor.execute(request, inForce, tokens)
+        explanations.add(executed)
         log(executed)
         return executed.toMessage(host)
     }
@@ -63,17 +66,23 @@
 public class RequestRoutes(
     private val bodyLimit: Int,
     private val runner: RequestRunner,
-    private val keyed: KeyedRequests
+    private val keyed: KeyedRequests,
+    private val explanations: Explanations
 ) {
     public val routes: Routes =
         Routes {
             post("/v1/requests") { answer(call) { handle(call, call.readText(bodyLimit)) } }
+            get("/v1/requests/{request}/explanation") { answer(call) { explain(call) } }
             post("/v1/keys") { answer(call) { mint(call, call.readText(bodyLimit)) } }
         }
 
     private suspend fun handle(call: ApplicationCall, body: String) {
         val message = MessageJson.decodeFromString<RequestMessage>(body)
         if (message.deadlineMillis <= 0) throw SapphireleverException(ErrorCode.DEADLINE_PASSED)
+        if (message.stream) {
+            call.respondStream { tokens -> run(message, tokens) }
+            return
+        }
         val outcome = run(message, TokenSink.NONE)
         val status = HttpStatusCode.fromValue(ErrorCode.fromText(outcome.code).httpStatus)
         call.respondJson(MessageJson.encodeToString(outcome), status)
@@ -82,6 +91,13 @@
     private suspend fun run(message: RequestMessage, tokens: TokenSink): OutcomeMessage =
         if (message.key == null) runner.run(message, tokens) else keyed.submit(message, tokens)
 
+    private suspend fun explain(call: ApplicationCall) {
+        val id = RequestId(call.parameters["request"].orEmpty())
+        val explanation =
+            explanations.find(id) ?: throw SapphireleverException(ErrorCode.NOT_FOUND)
+        call.respondJson(MessageJson.encodeToString(explanation))
+    }
+
     private suspend fun mint(call: ApplicationCall, body: String) {
         val message = MessageJson.decodeFromString<KeyRequestMessage>(body)
         val key = keyed.mint(OrganisationName(message.organisation))
@@ -100,6 +116,6 @@
 private fun StageRecord.toMessage(): StageMessage = StageMessage(
     stage = stage.name.value,
     target = target?.value.orEmpty(),
-    attempts = attempts,
+    attempts = attempts.size,
     millis = took.inWholeMilliseconds
 )
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/target/HttpTargetClient.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/target/HttpTargetClient.kt
@@ -7,6 +7,8 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.request.delete
+import io.ktor.client.request.get
 import io.ktor.client.request.preparePost
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
@@ -16,34 +18,25 @@
 import io.ktor.http.contentType
 import java.io.Closeable
 import java.net.ConnectException
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
-import org.sapphirelever.core.AttemptId
-import org.sapphirelever.core.ErrorCode
-import org.sapphirelever.core.Incarnation
-import org.sapphirelever.core.RequestId
-import org.sapphirelever.core.StageName
-import org.sapphirelever.decisions.attempt.AnswerIdentity
-import org.sapphirelever.decisions.attempt.AttemptAction
 import org.sapphirelever.decisions.attempt.AttemptEvent
-import org.sapphirelever.decisions.attempt.AttemptResult
 import org.sapphirelever.decisions.attempt.AttemptState
-import org.sapphirelever.decisions.attempt.RefusalReason
-import org.sapphirelever.decisions.attempt.StageAnswer
-import org.sapphirelever.decisions.attempt.on
-import org.sapphirelever.wire.LoadMessage
+import org.sapphirelever.decisions.routing.Target
 import org.sapphirelever.wire.MessageJson
-import org.sapphirelever.wire.RefusalMessage
 import org.sapphirelever.wire.RunAnswerMessage
-import org.sapphirelever.wire.RunMessage
 
 /** Calls targets by HTTP. */
-public class HttpTargetClient :
+public class HttpTargetClient(private val settings: TargetSettings = TargetSettings()) :
     TargetClient,
     Closeable {
     private val client: HttpClient =
@@ -54,31 +47,65 @@
                 maxConnectionsCount = MAXIMUM_CONNECTIONS
                 endpoint.maxConnectionsPerRoute = MAXIMUM_CONNECTIONS
                 endpoint.connectAttempts = 1
-                endpoint.connectTimeout = CONNECT_TIMEOUT_MILLIS
+                endpoint.connectTimeout = settings.connectTimeout.inWholeMilliseconds
             }
         }
 
+    /** Runs the calls that cancel streams, which must not delay the reply to the caller. */
+    private val cancellations = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+
     override suspend fun call(call: TargetCall, tokens: TokenSink): CallResult {
         val progress = CallProgress(AttemptState.Prepared(call.attempt))
         progress.on(AttemptEvent.ConnectStarted)
-        val inTime =
-            withTimeoutOrNull(call.remaining) {
-                exchange(call, progress)
-                true
+        try {
+            val inTime = withTimeoutOrNull(call.remaining) { exchange(call, progress, tokens) }
+            if (inTime == null) {
+                // The limit can strike while connecting or later; the later case is assumed.
+                progress.on(AttemptEvent.SendStarted)
+                progress.on(AttemptEvent.DeadlinePassed)
             }
-        if (inTime == null) {
-            // The limit can strike while connecting or later; the later case is assumed.
-            progress.on(AttemptEvent.SendStarted)
-            progress.on(AttemptEvent.DeadlinePassed)
+        } finally {
+            if (call.stream && progress.mayStillRun) cancelStream(call)
         }
         return progress.result()
     }
 
+    /** A target that accepts the connection but does not answer counts as reachable. */
+    override suspend fun reachable(target: Target): Boolean = try {
+        withTimeoutOrNull(settings.connectTimeout * 2) {
+            client.get("http://${target.endpoint}/healthz")
+        }
+        true
+    } catch (refused: ConnectException) {
+        false
+    } catch (timeout: ConnectTimeoutException) {
+        false
+    } catch (failure: Exception) {
+        currentCoroutineContext().ensureActive()
+        true
+    }
+
     override fun close() {
+        cancellations.cancel()
         client.close()
     }
 
-    private suspend fun exchange(call: TargetCall, progress: CallProgress) {
+    private suspend fun exchange(call: TargetCall, progress: CallProgress, tokens: TokenSink) {
+        if (call.stream) {
+            StreamExchange(client, call, progress, tokens, settings).run()
+        } else {
+            runWithin(call.progressBound, call, progress)
+        }
+    }
+
+    private suspend fun runWithin(bound: Duration, call: TargetCall, progress: CallProgress) {
+        withTimeoutOrNull(bound) { run(call, progress) } ?: run {
+            progress.on(AttemptEvent.SendStarted)
+            progress.on(AttemptEvent.ConnectionLost)
+        }
+    }
+
+    private suspend fun run(call: TargetCall, progress: CallProgress) {
         try {
             client
                 .preparePost("http://${call.target.endpoint}/v1/run") {
@@ -107,91 +134,24 @@
                 progress.on(AttemptEvent.ConnectionLost)
             }
 
-            HttpStatusCode.ServiceUnavailable -> {
-                val message = MessageJson.decodeFromString<RefusalMessage>(body)
-                progress.load(message.load)
-                progress.on(refusalEvent(message))
-            }
+            HttpStatusCode.ServiceUnavailable -> progress.refused(body)
 
             else -> progress.on(AttemptEvent.Failure("status ${response.status.value}"))
         }
     }
 
-    private fun refusalEvent(message: RefusalMessage): AttemptEvent =
-        RefusalReason.fromText(message.refused)?.let { AttemptEvent.Refused(it) }
-            ?: AttemptEvent.Failure("unknown refusal ${message.refused}")
-
-    private companion object {
-        const val MAXIMUM_CONNECTIONS = 10_000
-        const val CONNECT_TIMEOUT_MILLIS = 1_000L
-    }
-}
-
-/** State of one call while it is in progress. */
-internal class CallProgress(private var state: AttemptState) {
-    private var load: ReportedLoad? = null
-    private var dropped: Int = 0
-
-    fun on(event: AttemptEvent) {
-        val decision = state.on(event)
-        state = decision.state
-        dropped +=
-            decision.actions.count {
-                it is AttemptAction.DropForeignAnswer
-            }
-    }
-
-    fun load(message: LoadMessage?) {
-        if (message == null) return
-        load =
-            ReportedLoad(
-                running = message.running,
-                queued = message.queued,
-                slots = message.slots,
-                age = message.ageMillis.milliseconds
-            )
-    }
-
-    /** Records a failure; only a failed connect proves that no byte was sent. */
-    fun lost(failure: Exception) {
-        when (failure) {
-            is ConnectException, is ConnectTimeoutException -> on(AttemptEvent.ConnectFailed)
-
-            is SerializationException -> on(AttemptEvent.Failure("malformed answer"))
-
-            else -> {
-                on(AttemptEvent.SendStarted)
-                on(AttemptEvent.ConnectionLost)
+    private fun cancelStream(call: TargetCall) {
+        cancellations.launch {
+            try {
+                withTimeoutOrNull(settings.cancelLimit) { client.delete(call.streamPath) }
+            } catch (failure: Exception) {
+                // The target is gone or ends the stream by itself; nothing waits for this call.
+                currentCoroutineContext().ensureActive()
             }
         }
     }
 
-    fun result(): CallResult {
-        val finished = state as? AttemptState.Finished
-        val result =
-            finished?.result
-                ?: AttemptResult.MayHaveRun(ErrorCode.TARGET_LOST)
-        return CallResult(result, load, dropped)
+    private companion object {
+        const val MAXIMUM_CONNECTIONS = 10_000
     }
 }
-
-internal fun TargetCall.toMessage(): RunMessage = RunMessage(
-    request = attempt.request.value,
-    stage = attempt.stage.value,
-    attempt = attempt.number,
-    deadlineMillis = remaining.inWholeMilliseconds,
-    priority = priority.text,
-    input = input,
-    maximumTokens = maximumTokens,
-    key = key
-)
-
-internal fun RunAnswerMessage.toAnswer(): StageAnswer = StageAnswer(
-    identity =
-        AnswerIdentity(
-            AttemptId(RequestId(request), StageName(stage), attempt),
-            Incarnation(incarnation)
-        ),
-    output = output,
-    tokens = tokens
-)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/target/TargetClient.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/target/TargetClient.kt
@@ -5,6 +5,8 @@
 package org.sapphirelever.runtime.target
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import org.sapphirelever.core.AttemptId
 import org.sapphirelever.core.Priority
 import org.sapphirelever.decisions.attempt.AttemptResult
@@ -15,7 +17,8 @@
  *
  * @property remaining time left for the request
  * @property key key that a non-idempotent service can recognise a repeated call by
- * @property stream whether tokens are delivered while the target generates them
+ * @property stream whether the target is an engine that streams its tokens
+ * @property progressBound longest wait for the answer of a call that does not stream
  */
 public data class TargetCall(
     public val attempt: AttemptId,
@@ -25,7 +28,8 @@
     public val priority: Priority,
     public val maximumTokens: Int = 0,
     public val key: String? = null,
-    public val stream: Boolean = false
+    public val stream: Boolean = false,
+    public val progressBound: Duration = remaining
 )
 
 /** Receives the tokens of a streaming answer, in order, each once. */
@@ -45,13 +49,41 @@
     public val age: Duration
 )
 
-/** Result of a call and the load that came with it. */
+/**
+ * Result of a call and the load that came with it.
+ *
+ * @property droppedAnswers answers of other attempts or processes
+ * @property resumes connections opened after the first to resume a stream
+ * @property connectionBroken whether a connection broke, as opposed to falling silent
+ */
 public data class CallResult(
     public val result: AttemptResult,
     public val load: ReportedLoad? = null,
-    public val droppedAnswers: Int = 0
+    public val droppedAnswers: Int = 0,
+    public val resumes: Int = 0,
+    public val connectionBroken: Boolean = false
+)
+
+/** Settings of calls to targets. */
+public data class TargetSettings(
+    /** Longest wait without an event; the first token takes 0.57 s for 95 in 100. */
+    public val progressBound: Duration = 1.seconds,
+    public val connectTimeout: Duration = 1.seconds,
+    /** Connections in a row that bring no new token before a stream counts as lost. */
+    public val idleResumes: Int = 3,
+    public val resumeDelay: Duration = 20.milliseconds,
+    /** Bound on the call that cancels a stream, for a target that no longer answers. */
+    public val cancelLimit: Duration = 1.seconds
 )
 
-public interface TargetClient {
+/** Tells whether a target still accepts connections. */
+public fun interface TargetProbe {
+    public suspend fun reachable(target: Target): Boolean
+}
+
+public interface TargetClient : TargetProbe {
     public suspend fun call(call: TargetCall, tokens: TokenSink = TokenSink.NONE): CallResult
+
+    /** A client that cannot probe takes no broken connection for a crash. */
+    override suspend fun reachable(target: Target): Boolean = true
 }
--- a/wire/src/main/kotlin/org/sapphirelever/wire/CallerMessages.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/CallerMessages.kt
@@ -58,6 +58,39 @@
     public val stages: List<StageMessage> = emptyList()
 )
 
+/** One attempt at a stage; [hedge] tells whether it started while another still ran. */
+@Serializable
+public data class ExplainedAttemptMessage(
+    public val attempt: Int,
+    public val target: String,
+    public val result: String,
+    public val code: String,
+    public val millis: Long,
+    public val hedge: Boolean = false,
+    public val resumes: Int = 0,
+    public val droppedAnswers: Int = 0
+)
+
+/** One stage of an explanation, with all its attempts. */
+@Serializable
+public data class ExplainedStageMessage(
+    public val stage: String,
+    public val millis: Long,
+    public val attempts: List<ExplainedAttemptMessage>
+)
+
+/** What happened to a recent request. */
+@Serializable
+public data class ExplanationMessage(
+    public val request: String,
+    public val pipeline: String,
+    public val organisation: String,
+    public val outcome: String,
+    public val code: String,
+    public val millis: Long,
+    public val stages: List<ExplainedStageMessage>
+)
+
 /** One token of a streaming answer; [index] counts from 0. */
 @Serializable
 public data class TokenMessage(public val index: Int, public val text: String)
