Check the executor and the keys over their runtime paths

Cause: retries, hedges and keys were checked as decisions only. A keyed run now outlives its caller, who may ask again with the key; the input is hashed only while any request is marked. Ruled out: ending a keyed run with its caller, which would turn each broken connection into outcome-unknown.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/keys/KeyedRequests.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/keys/KeyedRequests.kt
@@ -10,6 +10,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.ErrorCode
 import org.sapphirelever.core.HostId
@@ -152,7 +154,8 @@
         var settled = reply(unknown(ErrorCode.TARGET_LOST))
         var known: OutcomeMessage? = null
         try {
-            settled = runner.run(request, tokens)
+            // A caller that goes away may ask again with its key and then needs the outcome.
+            settled = withContext(NonCancellable) { runner.run(request, tokens.untilFailure()) }
             known = settled
             return settled
         } catch (refused: SapphireleverException) {
@@ -168,6 +171,15 @@
         }
     }
 
+    /** Delivers tokens until the caller can no longer be reached. */
+    private fun TokenSink.untilFailure(): TokenSink {
+        if (this === TokenSink.NONE) return this
+        var reachable = true
+        return TokenSink { index, text ->
+            if (reachable) reachable = runCatching { accept(index, text) }.isSuccess
+        }
+    }
+
     /** Outcome of the [first] use, or outcome unknown when the deadline of [request] passes. */
     private suspend fun await(
         first: CompletableDeferred<OutcomeMessage>?,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/request/StageRunner.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/StageRunner.kt
@@ -74,7 +74,9 @@
 
     /** Makes one attempt, with its hedge, unless the work is suspected or finds no target. */
     private suspend fun step(work: StageWork, records: PersistentList<AttemptRecord>): Step {
-        if (repetition.suspicion.value.suspects(work.fingerprint, clock.now())) {
+        val suspicion = repetition.suspicion.value
+        // The input is hashed only if any request is marked, which is rare.
+        if (suspicion.marks.isNotEmpty() && suspicion.suspects(work.fingerprint, clock.now())) {
             return Step(end = StageEnd.Failed(ErrorCode.SUSPECTED_CRASH, RetryAdvice.NEVER))
         }
         val demand = work.demand(records)
--- /dev/null
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/request/RequestExecutorTest.kt
@@ -0,0 +1,283 @@
+package org.sapphirelever.runtime.request
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.Incarnation
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.OrganisationName
+import org.sapphirelever.core.Outcome
+import org.sapphirelever.core.PipelineName
+import org.sapphirelever.core.Priority
+import org.sapphirelever.core.RequestId
+import org.sapphirelever.core.RetryAdvice
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.SideEffects
+import org.sapphirelever.core.StageName
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.resource.Configuration
+import org.sapphirelever.core.resource.Pipeline
+import org.sapphirelever.core.resource.Service
+import org.sapphirelever.core.resource.ServiceKind
+import org.sapphirelever.core.resource.Stage
+import org.sapphirelever.decisions.attempt.AnswerIdentity
+import org.sapphirelever.decisions.attempt.AttemptResult
+import org.sapphirelever.decisions.attempt.RefusalReason
+import org.sapphirelever.decisions.attempt.StageAnswer
+import org.sapphirelever.decisions.retry.RetryBudget
+import org.sapphirelever.decisions.retry.StageKey
+import org.sapphirelever.decisions.routing.RoutingState
+import org.sapphirelever.decisions.routing.Target
+import org.sapphirelever.decisions.routing.TargetPolicy
+import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.dispatch.ImmediateDispatcher
+import org.sapphirelever.runtime.target.CallResult
+import org.sapphirelever.runtime.target.TargetCall
+import org.sapphirelever.runtime.target.TargetClient
+import org.sapphirelever.runtime.target.TokenSink
+
+/** Guards against repeated side effects, wrong outcomes and hedges that leave work behind. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class RequestExecutorTest {
+    /** What one attempt meets, in the order of the attempts. */
+    private data class Meets(
+        val result: AttemptResult? = null,
+        val broken: Boolean = false,
+        val tokens: Int = 0,
+        val after: Duration = 1.milliseconds
+    )
+
+    private data class Case(
+        val name: String,
+        val meets: List<Meets>,
+        val expected: Outcome,
+        val attempts: Int = meets.size,
+        val idempotent: Boolean = true,
+        val budget: Int = RetryBudget.INITIAL_TENTHS,
+        val stream: Boolean = false,
+        val results: List<String>? = null,
+        val hedged: Boolean = false
+    )
+
+    private val busy = AttemptResult.NotRun(ErrorCode.OVERLOADED, RefusalReason.BUSY)
+    private val unconnected = AttemptResult.NotRun(ErrorCode.TARGET_LOST)
+    private val lost = AttemptResult.MayHaveRun(ErrorCode.TARGET_LOST)
+    private val answer = Meets()
+    private val slow = Meets(after = 500.milliseconds)
+    private val complete = Outcome.Complete("answer")
+
+    private val cases =
+        listOf(
+            Case("answered", listOf(answer), complete),
+            Case("busy twice", listOf(Meets(busy), Meets(busy), answer), complete, budget = 0),
+            Case("busy everywhere", List(3) { Meets(busy) }, notRun(ErrorCode.OVERLOADED)),
+            Case("lost once", listOf(Meets(lost), answer), complete),
+            Case(
+                "lost without budget",
+                listOf(Meets(lost)),
+                ran(ErrorCode.TARGET_LOST),
+                budget = 9
+            ),
+            Case(
+                "lost, must not repeat",
+                listOf(Meets(lost)),
+                Outcome.Unknown(ErrorCode.TARGET_LOST, STAGE),
+                idempotent = false
+            ),
+            Case(
+                "connect failed",
+                listOf(Meets(unconnected), answer),
+                complete,
+                idempotent = false
+            ),
+            Case("never connected", List(3) { Meets(unconnected) }, notRun(ErrorCode.TARGET_LOST)),
+            Case(
+                "lost after a token",
+                listOf(Meets(lost, tokens = 1)),
+                ran(ErrorCode.TARGET_LOST),
+                stream = true
+            ),
+            Case(
+                "crash of two targets",
+                List(2) {
+                    Meets(lost, broken = true)
+                },
+                ran(ErrorCode.SUSPECTED_CRASH)
+            ),
+            Case(
+                "hedge answers first",
+                listOf(slow, answer),
+                complete,
+                results = listOf("cancelled", "answered"),
+                hedged = true
+            ),
+            Case(
+                "first answers after its hedge started",
+                listOf(Meets(after = 60.milliseconds), slow),
+                complete,
+                results = listOf("answered", "cancelled"),
+                hedged = true
+            ),
+            Case("hedge is refused", listOf(slow, Meets(busy)), complete, hedged = true),
+            Case("no budget for a hedge", listOf(slow), complete, budget = 0, hedged = true),
+            Case(
+                "no hedge of a call with effects",
+                listOf(slow),
+                complete,
+                idempotent = false,
+                hedged = true
+            )
+        )
+
+    @Test
+    fun `each course of attempts ends with its outcome`() {
+        for (case in cases) {
+            runTest {
+                val world = World(case, this)
+                val executed = world.execute("r")
+                assertEquals(case.expected, executed.outcome, case.name)
+                val explanation =
+                    Explanations().apply { add(executed) }.find(RequestId("r"))!!.stages.single()
+                assertEquals(case.attempts, world.calls.size, case.name)
+                assertEquals(case.attempts, world.calls.map { it.attempt }.toSet().size, case.name)
+                assertEquals(case.attempts, world.calls.map { it.target }.toSet().size, case.name)
+                assertEquals((1..case.attempts).toList(), explanation.attempts.map { it.attempt })
+                case.results?.let { results ->
+                    assertEquals(results, explanation.attempts.map { it.result }, case.name)
+                }
+                val cancelled = explanation.attempts.count { it.result == "cancelled" }
+                assertEquals(cancelled, world.cancelled, case.name)
+                assertEquals(0, world.routing.value.outstanding.size, "grants left: ${case.name}")
+            }
+        }
+    }
+
+    @Test
+    fun `a suspected request is refused as not run for its own organisation only`() = runTest {
+        val crash = Meets(lost, broken = true)
+        val world = World(Case("", listOf(crash, crash, answer), complete), this)
+        world.execute("first")
+        assertEquals(notRun(ErrorCode.SUSPECTED_CRASH), world.execute("again").outcome)
+        assertEquals(complete, world.execute("other", "other").outcome)
+    }
+
+    @Test
+    fun `the ring of explanations drops the eldest`() = runTest {
+        val explanations = Explanations(limit = 2)
+        val executed = World(Case("", listOf(answer), complete), this).execute("0")
+        (1..3).forEach { number ->
+            val request = executed.request.copy(id = RequestId("$number"))
+            explanations.add(executed.copy(request = request))
+        }
+        assertEquals(
+            listOf(false, true, true),
+            (1..3).map {
+                explanations.find(RequestId("$it")) !=
+                    null
+            }
+        )
+    }
+
+    private fun notRun(code: ErrorCode): Outcome = Outcome.NotRun(code, RetryAdvice.NEVER, STAGE)
+
+    private fun ran(code: ErrorCode): Outcome =
+        Outcome.FailedAfterRunning(code, STAGE, SideEffects.NONE, RetryAdvice.NEVER)
+
+    /** Four targets that follow the script of [case] on virtual time. */
+    private class World(private val case: Case, scope: TestScope) : TargetClient {
+        private val clock =
+            MonotonicClock { MonotonicTime(scope.testScheduler.currentTime * 1_000_000) }
+        val calls = mutableListOf<TargetCall>()
+        var cancelled = 0
+        val routing = StateCell(RoutingState(TARGETS))
+        private val repetition = RepetitionState()
+        private val dispatcher = ImmediateDispatcher(routing, FIRST, clock, Random(1))
+        private val executor = RequestExecutor(dispatcher, this, clock, repetition)
+
+        init {
+            repetition.budget.update { RetryBudget(case.budget) }
+            if (case.hedged) {
+                repeat(20) {
+                    repetition.latencies.update {
+                        it.with(StageKey(PIPELINE, STAGE), 50.milliseconds)
+                    }
+                }
+            }
+        }
+
+        suspend fun execute(id: String, organisation: String = "o"): ExecutedRequest {
+            val stage = Stage(STAGE, SERVICE, maximumTokens = 8)
+            val service = Service(SERVICE, ServiceKind.ENGINE, idempotent = case.idempotent)
+            val pipeline = Pipeline(PIPELINE, stages = persistentListOf(stage))
+            val request =
+                AcceptedRequest(
+                    id = RequestId(id),
+                    pipeline = pipeline,
+                    organisation = OrganisationName(organisation),
+                    priority = Priority.STANDARD,
+                    deadline = clock.now() + 4.seconds,
+                    input = "input",
+                    stream = case.stream
+                )
+            val configuration = Configuration(services = persistentMapOf(SERVICE to service))
+            return executor.execute(request, configuration) { _, _ -> }
+        }
+
+        override suspend fun call(call: TargetCall, tokens: TokenSink): CallResult {
+            val meets = case.meets[calls.size]
+            calls.add(call)
+            repeat(meets.tokens) { tokens.accept(it, "t") }
+            try {
+                delay(meets.after)
+            } catch (stopped: CancellationException) {
+                cancelled++
+                throw stopped
+            }
+            val identity = AnswerIdentity(call.attempt, Incarnation("p"))
+            val result = meets.result ?: AttemptResult.Answered(StageAnswer(identity, "answer"))
+            return CallResult(result, connectionBroken = meets.broken)
+        }
+
+        override suspend fun reachable(target: Target): Boolean = false
+    }
+
+    private companion object {
+        val STAGE = StageName("s")
+        val SERVICE = ServiceName("v")
+        val PIPELINE = PipelineName("p")
+        val TARGETS =
+            (1..4).map { TargetId("t$it") }.fold(persistentMapOf<TargetId, Target>()) { all, id ->
+                all.put(id, Target(id, SERVICE, DataCentre("d"), Endpoint("127.0.0.1", 1)))
+            }
+
+        /** Takes the first target that is not excluded. */
+        val FIRST =
+            object : TargetPolicy {
+                override val name = "first"
+
+                override fun choose(
+                    state: RoutingState,
+                    request: org.sapphirelever.decisions.routing.RoutingRequest,
+                    now: MonotonicTime,
+                    random: Random
+                ): TargetId? = state.targets.keys.sortedBy { it.value }.first {
+                    it !in
+                        request.excluded
+                }
+            }
+    }
+}
