End a request when its caller closes the connection

Cause: a request without a streaming reply ran on to its deadline after its caller had gone, and its engine stream with it. Change: the route of requests cancels its call when the connection closes. Ruled out: a probe of the connection by this project; the HTTP library reports the close.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRoutes.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRoutes.kt
@@ -5,8 +5,11 @@
 
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.install
+import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
+import io.ktor.server.routing.route
 import java.util.UUID
 import kotlinx.serialization.encodeToString
 import org.sapphirelever.core.ErrorCode
@@ -71,7 +74,11 @@
 ) {
     public val routes: Routes =
         Routes {
-            post("/v1/requests") { answer(call) { handle(call, call.readText(bodyLimit)) } }
+            route("/v1/requests") {
+                // A caller that closes its connection ends its request and the stream for it.
+                install(HttpRequestLifecycle) { cancelCallOnClose = true }
+                post { answer(call) { handle(call, call.readText(bodyLimit)) } }
+            }
             get("/v1/requests/{request}/explanation") { answer(call) { explain(call) } }
             post("/v1/keys") { answer(call) { mint(call, call.readText(bodyLimit)) } }
         }
