Advise a retry only where sending the request again is safe

Cause: a request that failed after a booking was done could carry the advice to send it again, and one that all targets refused carried none. Change: failed-after-running with side effects done never advises a retry; refusals and failed connects advise one after 500 ms. Calls without a stream are checked with own, crossed and silent answers. Ruled out: a delay taken from the load of the targets, which the dispatcher knows and reports with its own refusals. Conclusion: the advice follows from what may have run.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/attempt/RequestProgress.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/attempt/RequestProgress.kt
@@ -41,9 +41,13 @@
     ): Outcome = when {
         !anyStageRan -> Outcome.NotRun(code, retry, stage, detail)
         sideEffects == SideEffects.POSSIBLE -> Outcome.Unknown(code, stage, detail)
-        else -> Outcome.FailedAfterRunning(code, stage, sideEffects, retry, detail)
+        else -> Outcome.FailedAfterRunning(code, stage, sideEffects, safe(retry), detail)
     }
 
+    /** A request whose side effects are done must not be sent again. */
+    private fun safe(retry: RetryAdvice): RetryAdvice =
+        if (sideEffects == SideEffects.NONE) retry else RetryAdvice.NEVER
+
     private fun ran(effects: SideEffects): RequestProgress =
         copy(anyStageRan = true, sideEffects = sideEffects.and(effects))
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/request/StageRunner.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/StageRunner.kt
@@ -3,6 +3,8 @@
  */
 package org.sapphirelever.runtime.request
 
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentSet
@@ -102,8 +104,7 @@
         val answered = records.firstNotNullOfOrNull { it.result as? AttemptResult.Answered }
         if (answered != null) return StageEnd.Output(answered.answer.output)
         val result = records.last().result
-        val failed =
-            StageEnd.Failed(result.failureCode ?: ErrorCode.INTERNAL, RetryAdvice.NEVER)
+        val failed = StageEnd.Failed(result.failureCode ?: ErrorCode.INTERNAL, result.advice)
         val remaining = work.request.deadline - clock.now()
         return when (counts.verdict(result, work.service.idempotent, remaining)) {
             RetryVerdict.STOP -> failed
@@ -126,6 +127,13 @@
     excluded = records.map { it.target }.toPersistentSet()
 )
 
+/** Refusals and failed connects pass; a stage that failed or was lost may fail again. */
+private val AttemptResult.advice: RetryAdvice
+    get() = if (this is AttemptResult.NotRun) RetryAdvice.after(BUSY_DELAY) else RetryAdvice.NEVER
+
+/** Time after which targets that refused are expected to have room. */
+private val BUSY_DELAY: Duration = 500.milliseconds
+
 private val AttemptResult.failureCode: ErrorCode?
     get() = when (this) {
         is AttemptResult.Answered -> null
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/request/RequestExecutorTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/request/RequestExecutorTest.kt
@@ -171,7 +171,8 @@
         val crash = Meets(lost, broken = true)
         val world = World(Case("", listOf(crash, crash, answer), complete), this)
         world.execute("first")
-        assertEquals(notRun(ErrorCode.SUSPECTED_CRASH), world.execute("again").outcome)
+        val refused = Outcome.NotRun(ErrorCode.SUSPECTED_CRASH, RetryAdvice.NEVER, STAGE)
+        assertEquals(refused, world.execute("again").outcome)
         assertEquals(complete, world.execute("other", "other").outcome)
     }
 
@@ -192,7 +193,8 @@
         )
     }
 
-    private fun notRun(code: ErrorCode): Outcome = Outcome.NotRun(code, RetryAdvice.NEVER, STAGE)
+    private fun notRun(code: ErrorCode): Outcome =
+        Outcome.NotRun(code, RetryAdvice.after(500.milliseconds), STAGE)
 
     private fun ran(code: ErrorCode): Outcome =
         Outcome.FailedAfterRunning(code, STAGE, SideEffects.NONE, RetryAdvice.NEVER)
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
@@ -41,6 +41,7 @@
 import org.sapphirelever.decisions.routing.Target
 import org.sapphirelever.wire.MessageJson
 import org.sapphirelever.wire.RefusalMessage
+import org.sapphirelever.wire.RunAnswerMessage
 import org.sapphirelever.wire.StreamDoneMessage
 import org.sapphirelever.wire.TokenMessage
 
@@ -128,12 +129,20 @@
     private val resumedAfter = mutableListOf<Int>()
     private val cancels = Channel<Unit>(Channel.UNLIMITED)
     private var script: List<List<Act>> = emptyList()
+
+    /** Request that the answer names, or null for a target that falls silent. */
+    private var runAnswer: String? = null
     private val settings = TargetSettings(progressBound = 300.milliseconds)
     private val client = HttpTargetClient(settings)
     private val server: EmbeddedServer<*, *> =
         embeddedServer(CIO, port = 0, host = "127.0.0.1") {
             routing {
                 post("/v1/stream") { play(call) }
+                post("/v1/run") {
+                    val request = runAnswer ?: awaitCancellation()
+                    val answer = RunAnswerMessage(request, "s", 1, "p", "output")
+                    call.respondText(MessageJson.encodeToString(answer))
+                }
                 get("/v1/streams/{request}/{stage}/{attempt}") {
                     resumedAfter.add(call.parameters["after"]!!.toInt())
                     play(call)
@@ -165,6 +174,29 @@
         }
     }
 
+    private data class RunCase(val name: String, val request: String?, val answered: Boolean)
+
+    private val runCases =
+        listOf(
+            RunCase("own answer", REQUEST, true),
+            RunCase("crossed answer", "other", false),
+            RunCase("silent target", null, false)
+        )
+
+    @Test
+    fun `a call without a stream takes only its own answer within the bound`() = runBlocking {
+        server.startSuspend(wait = false)
+        val port = server.engine.resolvedConnectors().single().port
+        for (case in runCases) {
+            runAnswer = case.request
+            val call = call(port).copy(stream = false, progressBound = 300.milliseconds)
+            val called = client.call(call)
+            assertEquals(case.answered, called.result is AttemptResult.Answered, case.name)
+            if (!case.answered) assertEquals<AttemptResult>(lost, called.result, case.name)
+            assertEquals(if (case.request == "other") 1 else 0, called.droppedAnswers, case.name)
+        }
+    }
+
     @Test
     fun `a stream at its deadline is cancelled on the engine`() = runBlocking {
         server.startSuspend(wait = false)
