--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -29,11 +29,17 @@
 import org.sapphirelever.runtime.http.HttpFrontEnd
 import org.sapphirelever.runtime.http.Routes
 import org.sapphirelever.runtime.http.healthRoutes
+import org.sapphirelever.runtime.keys.KeyForwarder
+import org.sapphirelever.runtime.keys.KeyOwner
+import org.sapphirelever.runtime.keys.KeyedRequests
+import org.sapphirelever.runtime.keys.NoKeyForwarder
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.metrics.BurnRecorder
 import org.sapphirelever.runtime.metrics.PrometheusMetrics
 import org.sapphirelever.runtime.metrics.RequestMetricsFanOut
+import org.sapphirelever.runtime.request.ConfiguredRunner
+import org.sapphirelever.runtime.request.Explanations
 import org.sapphirelever.runtime.request.RequestExecutor
 import org.sapphirelever.runtime.request.RequestRoutes
 import org.sapphirelever.runtime.resource.ResourceRoutes
@@ -50,7 +56,8 @@
     policy: TargetPolicy = LeastOutstandingPolicy,
     clock: MonotonicClock = SystemMonotonicClock,
     random: Random = Random(settings.randomSeed),
-    stopSteps: List<StopStep> = emptyList()
+    stopSteps: List<StopStep> = emptyList(),
+    forwarder: KeyForwarder = NoKeyForwarder
 ) {
     public val incarnation: Incarnation = Incarnation(UUID.randomUUID().toString())
 
@@ -67,15 +74,28 @@
             outstanding = { shutdown.outstanding }
         )
     private val recorders = RequestMetricsFanOut(listOf(metrics, burn))
-    private val requests =
-        RequestRoutes(
+    private val explanations = Explanations()
+    private val runner =
+        ConfiguredRunner(
             settings.host,
-            settings.bodyLimit,
             configuration,
             executor,
+            explanations,
             clock,
             recorders
         )
+
+    /** Requests with keys; the links to other hosts and a planned stop call it. */
+    public val keyed: KeyedRequests =
+        KeyedRequests(
+            settings.host,
+            KeyOwner(incarnation, settings.peer),
+            forwarder,
+            runner,
+            clock,
+            random
+        )
+    private val requests = RequestRoutes(settings.bodyLimit, runner, keyed, explanations)
     private val resources =
         ResourceRoutes(settings.bodyLimit, configuration, ConfigurationWriter(platform))
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRecording.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestRecording.kt
@@ -4,16 +4,21 @@
 package org.sapphirelever.runtime.request
 
 import kotlin.time.Duration
+import org.sapphirelever.decisions.attempt.AttemptResult
 import org.sapphirelever.runtime.metrics.FinishedRequest
 import org.sapphirelever.runtime.metrics.FinishedStage
 import org.sapphirelever.runtime.metrics.RequestMetrics
 
+/** Tokens of the answer of this attempt, 0 if it has none. */
+private val AttemptRecord.tokens: Int
+    get() = (result as? AttemptResult.Answered)?.answer?.tokens ?: 0
+
 /** Records [executed], which [took] this time of its [limit], and its stages. */
 public fun RequestMetrics.record(executed: ExecutedRequest, took: Duration, limit: Duration) {
     val request = executed.request
     val pipeline = request.pipeline.name
     executed.stages.forEach { stage ->
-        if (stage.attempts == 0) {
+        if (stage.attempts.isEmpty()) {
             refused(pipeline, stage.stage.name, executed.outcome.code)
         } else {
             stageFinished(
@@ -21,10 +26,16 @@
                     pipeline = pipeline,
                     stage = stage.stage.name,
                     took = stage.took,
-                    targetTime = stage.took,
-                    attempts = stage.attempts
+                    targetTime = stage.attempts.fold(Duration.ZERO) { sum, attempt ->
+                        sum + attempt.took
+                    },
+                    attempts = stage.attempts.size,
+                    hedges = stage.attempts.count { it.hedge },
+                    tokens = stage.attempts.sumOf { it.tokens }
                 )
             )
+            val dropped = stage.attempts.sumOf { it.droppedAnswers }
+            if (dropped > 0) answersDropped(pipeline, stage.stage.name, dropped)
         }
     }
     requestFinished(FinishedRequest(pipeline, request.organisation, executed.outcome, took, limit))
