Add routing, prediction and admission decisions and a queueing dispatcher

Cause: the first path granted every call at once to the target with the least outstanding work. Change: baselines and the expected-completion policy, ejection, bounded subsets, prefix affinity, size prediction, fair queueing, adaptive limits, rate limits and early refusal as pure decisions; QueueingDispatcher carries them out and replaces ImmediateDispatcher in the entry host. Ruled out: separate locks for routing and admission decisions, because a grant changes both. Conclusion: compiles; behaviour is not yet measured.

--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/routing/TargetIndex.kt
@@ -0,0 +1,74 @@
+/*
+ * The bounded subset of targets that this host uses, by service. It is computed once for each
+ * target list, so that a choice costs the same at any size of the fleet.
+ */
+package org.sapphirelever.decisions.routing
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.sapphirelever.core.HostId
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.TargetId
+
+/** Greatest number of targets of one service that a host uses in one data centre. */
+public const val SUBSET_SIZE: Int = 48
+
+/** Targets of one service that this host uses, each list in order of their names. */
+public data class ServiceTargets(
+    public val local: PersistentList<Target>,
+    public val remote: PersistentList<Target>
+)
+
+/** Subsets computed from [source]; they are stale once the state holds another map. */
+public data class TargetIndex(
+    public val source: PersistentMap<TargetId, Target> = persistentMapOf(),
+    public val services: PersistentMap<ServiceName, ServiceTargets> = persistentMapOf()
+)
+
+/** This state with an index of its current targets and without statistics of removed ones. */
+public fun RoutingState.indexed(): RoutingState {
+    if (index.source === targets) return this
+    val services = targets.values.filter { !it.leaving }
+        .groupBy { it.service }
+        .mapValues { (_, list) -> serviceTargets(list) }
+    val known = statistics.filterKeys { it in targets || statistics(it).calls.isNotEmpty() }
+    return copy(
+        index = TargetIndex(targets, services.toPersistentMap()),
+        statistics = known.toPersistentMap()
+    )
+}
+
+private fun RoutingState.serviceTargets(targets: List<Target>): ServiceTargets {
+    val (local, remote) = targets.partition { it.dataCentre == dataCentre }
+    val subsets = remote.groupBy { it.dataCentre }.values.flatMap { subset(host, it) }
+    return ServiceTargets(subset(host, local).ordered(), subsets.ordered())
+}
+
+private fun List<Target>.ordered(): PersistentList<Target> =
+    sortedBy { it.id.value }.toPersistentList()
+
+/** The [SUBSET_SIZE] targets that rank highest for [host] by rendezvous hashing. */
+public fun subset(host: HostId, targets: List<Target>): List<Target> {
+    if (targets.size <= SUBSET_SIZE) return targets
+    return targets.sortedByDescending { rendezvousRank(host.value, it.id.value) }
+        .take(SUBSET_SIZE)
+}
+
+/** Rank of [candidate] for [key]: a 64-bit FNV-1a hash whose bits are mixed at the end. */
+public fun rendezvousRank(key: String, candidate: String): Long {
+    var hash = FNV_OFFSET
+    for (character in key) hash = (hash xor character.code.toLong()) * FNV_PRIME
+    hash = (hash xor SEPARATOR) * FNV_PRIME
+    for (character in candidate) hash = (hash xor character.code.toLong()) * FNV_PRIME
+    hash = (hash xor (hash ushr MIX_SHIFT)) * MIX_FACTOR
+    return hash xor (hash ushr MIX_SHIFT)
+}
+
+private const val FNV_OFFSET = -3750763034362895579L
+private const val FNV_PRIME = 1099511628211L
+private const val MIX_FACTOR = -49064778989728563L
+private const val MIX_SHIFT = 33
+private const val SEPARATOR = 0x1FL
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/dispatch/TargetDispatcher.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/dispatch/TargetDispatcher.kt
@@ -3,13 +3,10 @@
  */
 package org.sapphirelever.runtime.dispatch
 
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
-import kotlinx.collections.immutable.toPersistentSet
 import org.sapphirelever.core.ErrorCode
-import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.OrganisationName
 import org.sapphirelever.core.Priority
@@ -18,11 +15,7 @@
 import org.sapphirelever.core.resource.Service
 import org.sapphirelever.core.resource.Stage
 import org.sapphirelever.decisions.attempt.AttemptResult
-import org.sapphirelever.decisions.routing.RoutingRequest
-import org.sapphirelever.decisions.routing.RoutingState
 import org.sapphirelever.decisions.routing.Target
-import org.sapphirelever.decisions.routing.TargetPolicy
-import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.target.ReportedLoad
 
 /**
@@ -45,8 +38,16 @@
     public val excluded: PersistentSet<TargetId> = persistentSetOf()
 )
 
-/** Permission to call a target, returned by exactly one [TargetDispatcher.release]. */
-public data class Grant(public val target: Target, public val grantedAt: MonotonicTime)
+/**
+ * Permission to call a target, returned by exactly one [TargetDispatcher.release].
+ *
+ * @property id identity of the grant within its dispatcher
+ */
+public data class Grant(
+    public val target: Target,
+    public val grantedAt: MonotonicTime,
+    public val id: Long = 0
+)
 
 /** Answer of the dispatcher. */
 public sealed interface Dispatch {
@@ -72,35 +73,3 @@
     /** Returns [grant]; [report] is null if the call was cancelled. */
     public fun release(demand: StageDemand, grant: Grant, report: CallReport?)
 }
-
-/** Chooses by [policy] and never waits. */
-public class ImmediateDispatcher(
-    private val routing: StateCell<RoutingState>,
-    private val policy: TargetPolicy,
-    private val clock: MonotonicClock,
-    private val random: Random
-) : TargetDispatcher {
-    override suspend fun acquire(demand: StageDemand): Dispatch {
-        var chosen: Target? = null
-        routing.update { state ->
-            val id = policy.choose(state, demand.toRoutingRequest(), clock.now(), random)
-            chosen = id?.let { state.targets[it] }
-            if (id == null) state else state.withOutstanding(id, 1)
-        }
-        return chosen?.let { Dispatch.Granted(Grant(it, clock.now())) }
-            ?: Dispatch.Refused(ErrorCode.NO_TARGET, Duration.ZERO)
-    }
-
-    override fun release(demand: StageDemand, grant: Grant, report: CallReport?) {
-        routing.update { it.withOutstanding(grant.target.id, -1) }
-    }
-
-    private fun StageDemand.toRoutingRequest(): RoutingRequest =
-        RoutingRequest(stage.service, stage.dataCentres.toPersistentSet(), excluded)
-
-    private fun RoutingState.withOutstanding(id: TargetId, change: Int): RoutingState {
-        val count = (outstanding[id] ?: 0) + change
-        val next = if (count > 0) outstanding.put(id, count) else outstanding.remove(id)
-        return copy(outstanding = next)
-    }
-}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -9,15 +9,17 @@
 import org.sapphirelever.core.Incarnation
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.SystemMonotonicClock
+import org.sapphirelever.decisions.admission.AdmissionState
+import org.sapphirelever.decisions.admission.DispatchRules
 import org.sapphirelever.decisions.configuration.ConfigurationState
-import org.sapphirelever.decisions.routing.LeastOutstandingPolicy
+import org.sapphirelever.decisions.routing.ExpectedCompletionPolicy
 import org.sapphirelever.decisions.routing.RoutingState
 import org.sapphirelever.decisions.routing.TargetPolicy
 import org.sapphirelever.decisions.supervision.RestartPolicy
 import org.sapphirelever.decisions.supervision.Strategy
 import org.sapphirelever.platform.Platform
 import org.sapphirelever.runtime.StateCell
-import org.sapphirelever.runtime.dispatch.ImmediateDispatcher
+import org.sapphirelever.runtime.dispatch.QueueingDispatcher
 import org.sapphirelever.runtime.feed.ConfigurationFeed
 import org.sapphirelever.runtime.feed.ConfigurationWriter
 import org.sapphirelever.runtime.feed.TargetListFeed
@@ -37,15 +39,20 @@
     private val settings: HostSettings,
     private val platform: Platform,
     client: TargetClient,
-    policy: TargetPolicy = LeastOutstandingPolicy,
+    policy: TargetPolicy = ExpectedCompletionPolicy(),
     clock: MonotonicClock = SystemMonotonicClock,
     random: Random = Random(settings.randomSeed)
 ) {
     public val incarnation: Incarnation = Incarnation(UUID.randomUUID().toString())
 
     private val configuration = StateCell(ConfigurationState())
-    private val routing = StateCell(RoutingState())
-    private val dispatcher = ImmediateDispatcher(routing, policy, clock, random)
+    private val routing =
+        StateCell(RoutingState(host = settings.host, dataCentre = settings.dataCentre))
+    private val admission = StateCell(AdmissionState())
+    private val dispatcher =
+        QueueingDispatcher(routing, admission, DispatchRules(policy), clock, random) {
+            configuration.value.inForce.organisations[it]
+        }
     private val executor = RequestExecutor(dispatcher, client, clock)
     private val requests =
         RequestRoutes(settings.host, settings.bodyLimit, configuration, executor, clock)
