--- /dev/null
+++ b/load/src/main/kotlin/org/sapphirelever/load/experiment/ExperimentReport.kt
@@ -0,0 +1,51 @@
+/*
+ * Results of a set of experiments, as a table and as JSON.
+ */
+package org.sapphirelever.load.experiment
+
+import java.util.Locale
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** Figures of one approach on one deployment. */
+@Serializable
+public data class ExperimentRow(
+    public val experiment: String,
+    public val deployment: String,
+    public val approach: String,
+    public val figures: Map<String, Double>,
+    public val missed: List<String> = emptyList()
+)
+
+/** Results of a run with [seed]. */
+@Serializable
+public data class ExperimentReport(public val seed: Long, public val rows: List<ExperimentRow>) {
+    /** The rows of the chosen policy that miss a stated target. */
+    public val missed: List<ExperimentRow>
+        get() = rows.filter { it.approach == CHOSEN.name && it.missed.isNotEmpty() }
+
+    public fun toJson(): String = JSON.encodeToString(serializer(), this)
+
+    /** One table for each experiment, as Markdown. */
+    public fun table(): String = rows.groupBy { it.experiment }
+        .map { (name, rows) -> table(name, rows) }
+        .joinToString("\n")
+
+    private fun table(name: String, rows: List<ExperimentRow>): String {
+        val figures = rows.first().figures.keys.toList()
+        val heads = listOf("deployment", "policy") + figures + "missed"
+        val lines = rows.map { row ->
+            val values = figures.map { format(row.figures.getValue(it)) }
+            listOf(row.deployment, row.approach) + values + row.missed.joinToString()
+        }
+        val rule = heads.map { "---" }
+        return "### $name\n\n" +
+            (listOf(heads, rule) + lines).joinToString("") { "| ${it.joinToString(" | ")} |\n" }
+    }
+
+    private fun format(value: Double): String = String.format(Locale.ROOT, "%.3f", value)
+
+    private companion object {
+        val JSON = Json { prettyPrint = true }
+    }
+}
