Offer crash marks to other hosts a bounded number of times

Cause: the links to other hosts need marks for their heartbeats, and a mark that is passed on at each heartbeat for ten minutes wastes their bound. Change: each new mark is offered in at most 20 heartbeats, the least offered first; a mark that is already known is not offered again. Ruled out: one send on each link, which loses the mark with one heartbeat. Conclusion: the entry host exposes the marks for the heartbeats.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/SuspicionState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/SuspicionState.kt
@@ -8,11 +8,13 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.OrganisationName
 import org.sapphirelever.core.PipelineName
 import org.sapphirelever.core.StageName
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.Decision
 import org.sapphirelever.decisions.keys.Fingerprint
 
 /** The crash of [target] while it ran a request, as peers exchange it. */
@@ -22,9 +24,12 @@
     public val validFor: Duration
 )
 
-/** Marks with the time at which each expires; the eldest fingerprint is dropped for room. */
+/** A mark as this host holds it. [offers] counts the heartbeats that still carry it to peers. */
+public data class HeldMark(public val expiresAt: MonotonicTime, public val offers: Int)
+
+/** Marks by fingerprint and target; the eldest fingerprint is dropped for room. */
 public data class SuspicionState(
-    public val marks: PersistentMap<Fingerprint, PersistentMap<TargetId, MonotonicTime>> =
+    public val marks: PersistentMap<Fingerprint, PersistentMap<TargetId, HeldMark>> =
         persistentMapOf(),
     public val maximumFingerprints: Int = MAXIMUM_FINGERPRINTS
 ) {
@@ -37,6 +42,9 @@
 
         /** More targets than suspicion needs, so that marks that expire leave others. */
         internal const val MAXIMUM_TARGETS = 4
+
+        /** Twice the 10 links of a host, so that a lost heartbeat does not lose a mark. */
+        public const val OFFERS: Int = 20
     }
 }
 
@@ -63,11 +71,14 @@
 private fun SuspicionState.with(mark: CrashMark, now: MonotonicTime): SuspicionState {
     val known = (marks[mark.fingerprint] ?: persistentMapOf()).live(now)
     val expiresAt = now + minOf(mark.validFor, SuspicionState.VALIDITY)
-    val later = known[mark.target]?.takeIf { it > expiresAt } ?: expiresAt
+    val before = known[mark.target]
+    val later = before?.expiresAt?.takeIf { it > expiresAt } ?: expiresAt
+    // A mark that is already known is not offered again, or peers would pass it on for ever.
+    val held = HeldMark(later, before?.offers ?: SuspicionState.OFFERS)
     if (mark.target !in known && known.size >= SuspicionState.MAXIMUM_TARGETS) return this
     val full = mark.fingerprint !in marks && marks.size >= maximumFingerprints
     val room = if (full) marks.remove(marks.keys.first()) else marks
-    return copy(marks = room.put(mark.fingerprint, known.put(mark.target, later)))
+    return copy(marks = room.put(mark.fingerprint, known.put(mark.target, held)))
 }
 
 /** Whether crashes of enough different targets followed requests with [fingerprint]. */
@@ -78,13 +89,33 @@
 /** Marks that have not expired, for peers. */
 public fun SuspicionState.liveMarks(now: MonotonicTime): List<CrashMark> =
     marks.flatMap { (fingerprint, targets) ->
-        targets.live(now).map { (target, expiresAt) ->
-            CrashMark(fingerprint, target, expiresAt - now)
+        targets.live(now).map { (target, held) ->
+            CrashMark(fingerprint, target, held.expiresAt - now)
         }
     }
 
-private fun PersistentMap<TargetId, MonotonicTime>.live(
+/** Marks for one heartbeat: at most [limit], those first that were offered least. */
+public fun SuspicionState.offer(
+    limit: Int,
+    now: MonotonicTime
+): Decision<SuspicionState, CrashMark> {
+    val open = liveMarks(now).filter { held(it).offers > 0 }
+    val offered = open.sortedByDescending { held(it).offers }.take(limit)
+    val state =
+        offered.fold(this) { state, mark ->
+            val held = state.held(mark)
+            val targets = state.marks.getValue(mark.fingerprint)
+            val counted = targets.put(mark.target, held.copy(offers = held.offers - 1))
+            state.copy(marks = state.marks.put(mark.fingerprint, counted))
+        }
+    return Decision(state, offered.toPersistentList())
+}
+
+private fun SuspicionState.held(mark: CrashMark): HeldMark =
+    marks.getValue(mark.fingerprint).getValue(mark.target)
+
+private fun PersistentMap<TargetId, HeldMark>.live(
     now: MonotonicTime
-): PersistentMap<TargetId, MonotonicTime> = entries
-    .filter { it.value <= now }
+): PersistentMap<TargetId, HeldMark> = entries
+    .filter { it.value.expiresAt <= now }
     .fold(this) { kept, expired -> kept.remove(expired.key) }
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/suspicion/SuspicionStateTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/suspicion/SuspicionStateTest.kt
@@ -57,6 +57,12 @@
         assertEquals(10.minutes, SuspicionState().merged(long, START).liveMarks(START)[0].validFor)
         val many = (1..9).map { CrashMark(Fingerprint("n$it"), TargetId("a"), 1.minutes) }
         assertEquals(2, received.merged(many, START).marks.size)
+        var offering = first.marked(Fingerprint("g"), TargetId("a"), START)
+        val offered = (1..50).flatMap {
+            offering.offer(1, START).also { offering = it.state }.actions
+        }
+        assertEquals(2 * SuspicionState.OFFERS, offered.size)
+        assertEquals(0, offering.merged(offered, START).offer(9, START).actions.size)
     }
 
     private fun marks(vararg pairs: Pair<String, String>) =
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -31,6 +31,7 @@
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.request.ConfiguredRunner
 import org.sapphirelever.runtime.request.Explanations
+import org.sapphirelever.runtime.request.RepetitionState
 import org.sapphirelever.runtime.request.RequestExecutor
 import org.sapphirelever.runtime.request.RequestRoutes
 import org.sapphirelever.runtime.resource.ResourceRoutes
@@ -53,7 +54,10 @@
     private val configuration = StateCell(ConfigurationState())
     private val routing = StateCell(RoutingState())
     private val dispatcher = ImmediateDispatcher(routing, policy, clock, random)
-    private val executor = RequestExecutor(dispatcher, client, clock)
+
+    /** Retry budget, latencies and crash marks; the links to other hosts exchange the marks. */
+    public val repetition: RepetitionState = RepetitionState()
+    private val executor = RequestExecutor(dispatcher, client, clock, repetition)
     private val explanations = Explanations()
     private val runner =
         ConfiguredRunner(settings.host, configuration, executor, explanations, clock)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RepetitionState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RepetitionState.kt
@@ -4,11 +4,15 @@
 package org.sapphirelever.runtime.request
 
 import java.util.concurrent.atomic.AtomicLong
+import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.decisions.retry.BudgetAction
 import org.sapphirelever.decisions.retry.RetryBudget
 import org.sapphirelever.decisions.retry.StageLatencies
 import org.sapphirelever.decisions.retry.spend
+import org.sapphirelever.decisions.suspicion.CrashMark
 import org.sapphirelever.decisions.suspicion.SuspicionState
+import org.sapphirelever.decisions.suspicion.merged
+import org.sapphirelever.decisions.suspicion.offer
 import org.sapphirelever.runtime.StateCell
 
 /**
@@ -21,6 +25,15 @@
     public val suspicion: StateCell<SuspicionState> = StateCell(SuspicionState())
     public val droppedAnswers: AtomicLong = AtomicLong()
 
+    /** Crash marks for one heartbeat to another host. */
+    public fun offerMarks(limit: Int, now: MonotonicTime): List<CrashMark> =
+        suspicion.decide { it.offer(limit, now) }
+
+    /** Takes the crash marks of another host. */
+    public fun mergeMarks(marks: List<CrashMark>, now: MonotonicTime) {
+        suspicion.update { it.merged(marks, now) }
+    }
+
     /** Takes a token for a retry or hedge; false if there is none. */
     public fun spend(): Boolean = budget.decide { it.spend() }.single() == BudgetAction.PERMIT
 }
