--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/keys/KeyStateTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/keys/KeyStateTest.kt
@@ -12,7 +12,16 @@
 
 /** Guards against a key that runs twice, and against "not run" for a key that may have run. */
 class KeyStateTest {
-    private enum class Step { USE_OWNER, USE_OTHER, FINISH, LOSE, HAND_OVER, EXPIRE, OWNER_GONE }
+    private enum class Step {
+        USE_OWNER,
+        USE_OTHER,
+        FINISH,
+        LOSE,
+        HAND_OVER,
+        EXPIRE,
+        SWEEP,
+        OWNER_GONE
+    }
 
     /** Two processes: the owner of the key and the successor of its claims. */
     private data class World(
@@ -43,6 +52,7 @@
         Step.LOSE -> if (ownerAlive) copy(owner = owner.finish(KEY, null)) else this
         Step.HAND_OVER -> if (ownerAlive) handOver() else this
         Step.EXPIRE -> copy(now = now + 11.minutes)
+        Step.SWEEP -> copy(owner = owner.swept(now), successor = successor.swept(now))
         Step.OWNER_GONE -> copy(ownerAlive = false)
     }
 
