--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -42,6 +42,7 @@
 import org.sapphirelever.runtime.metrics.RequestMetricsFanOut
 import org.sapphirelever.runtime.request.ConfiguredRunner
 import org.sapphirelever.runtime.request.Explanations
+import org.sapphirelever.runtime.request.RepetitionState
 import org.sapphirelever.runtime.request.RequestExecutor
 import org.sapphirelever.runtime.request.RequestRoutes
 import org.sapphirelever.runtime.resource.ResourceRoutes
@@ -71,7 +72,10 @@
         QueueingDispatcher(routing, admission, DispatchRules(policy), clock, random) {
             configuration.value.inForce.organisations[it]
         }
-    private val executor = RequestExecutor(dispatcher, client, clock)
+
+    /** Retry budget, latencies and crash marks; the links to other hosts exchange the marks. */
+    public val repetition: RepetitionState = RepetitionState()
+    private val executor = RequestExecutor(dispatcher, client, clock, repetition)
     private val shutdown =
         GracefulShutdown(settings.balancerDelay, settings.drainLimit, clock, stopSteps)
     private val burn = BurnRecorder(settings.host, settings.objective, clock)
