--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/supervision/Supervisor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/supervision/Supervisor.kt
@@ -115,6 +115,7 @@
             "supervisor" to name
             "child" to children[index].name
             "failure" to failure
+            "cause" to failure.cause
             "decision" to decision::class.simpleName
         }
         return when (decision) {
