Note adopted revisions beside the burn of a host

Cause: the report had a place for decisions and nothing recorded any. Change: BurnRecorder.follow notes each change of a value once a second; the entry host follows its configuration revision. Conclusion: ClientCommandsTest sees the adopted revision in the report.

--- a/cli/src/test/kotlin/org/sapphirelever/cli/ClientCommandsTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ClientCommandsTest.kt
@@ -105,6 +105,7 @@
                     case.printed.forEach { assertTrue(it in text, "${case.line}: $text") }
                 }
                 assertTrue("<svg" in page.readText())
+                awaitSuccess("report --entry-hosts $host", "h: configuration revision 1")
                 deployment.cancel()
             }
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -113,6 +113,9 @@
     private fun tree(): Supervisor = supervisor("entry-host", ROOT_POLICY) {
         supervisor("configuration", RestartPolicy(Strategy.ONE_FOR_ONE)) {
             child("document") { ConfigurationFeed(platform, configuration).run() }
+            child("burn-decisions") {
+                burn.follow("configuration revision") { configuration.value.inForce.revision }
+            }
             child("target-list") { TargetListFeed(platform, routing).run() }
         }
         supervisor("front-end", RestartPolicy(Strategy.ONE_FOR_ONE)) {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/metrics/BurnRecorder.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/metrics/BurnRecorder.kt
@@ -5,6 +5,8 @@
 
 import io.ktor.server.routing.get
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.delay
 import kotlinx.serialization.encodeToString
 import org.sapphirelever.core.ErrorCode
 import org.sapphirelever.core.HostId
@@ -49,6 +51,17 @@
         history.update { it.noting(decision) }
     }
 
+    /** Notes each new value of [read] under [name], checked once a second, until cancelled. */
+    public suspend fun follow(name: String, read: () -> Any) {
+        var known = read()
+        while (true) {
+            delay(FOLLOW_INTERVAL)
+            val value = read()
+            if (value != known) decided("$name $value")
+            known = value
+        }
+    }
+
     override fun requestFinished(request: FinishedRequest) {
         val cause = causeOf(request)
         history.update { it.counting(minute(), cause) }
@@ -61,6 +74,11 @@
     override fun answersDropped(pipeline: PipelineName, stage: StageName, count: Int): Unit = Unit
 
     private fun minute(): Long = (clock.now() - MonotonicTime.ZERO).inWholeMinutes
+
+    private companion object {
+        /** The report counts in minutes, so a second is exact enough. */
+        val FOLLOW_INTERVAL = 1.seconds
+    }
 }
 
 /** Why [request] missed the objective, or null if it met it or its caller was at fault. */
