Tell not-run only for errors that precede every stage

Cause: an error reply to a request told not-run for every code but internal, which is false for codes that can follow a stage or an earlier use of a key. Change: a closed set of codes proves not-run; others tell outcome-unknown. Ruled out: deriving it from the HTTP status, since 503 has both meanings.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
@@ -99,19 +99,37 @@
     detail: String,
     findings: List<FindingMessage> = emptyList()
 ) {
-    val message = ErrorMessage(code.text, detail, findings, outcomeOf(code))
+    val message = ErrorMessage(code.text, detail, findings, requestOutcome(code))
     respondJson(MessageJson.encodeToString(message), HttpStatusCode.fromValue(code.httpStatus))
 }
 
 /** Outcome that an error with [code] tells the caller of a request; null for other calls. */
-private fun ApplicationCall.outcomeOf(code: ErrorCode): String? = when {
-    request.httpMethod != HttpMethod.Post || request.path() != "/v1/requests" -> null
+private fun ApplicationCall.requestOutcome(code: ErrorCode): String? {
+    if (request.httpMethod != HttpMethod.Post || request.path() != "/v1/requests") return null
+    return outcomeOf(code)
+}
 
-    // An unexpected fault can strike at any moment, so nothing is known of the request.
-    code == ErrorCode.INTERNAL -> "outcome-unknown"
+/** `not-run` only for the codes that prove it; any other error may have struck after a stage. */
+internal fun outcomeOf(code: ErrorCode): String =
+    if (code in BEFORE_ANY_STAGE) "not-run" else "outcome-unknown"
 
-    else -> "not-run"
-}
+/** Codes of the checks that precede the first stage of a request. */
+private val BEFORE_ANY_STAGE: Set<ErrorCode> =
+    setOf(
+        ErrorCode.MALFORMED_REQUEST,
+        ErrorCode.BODY_TOO_LARGE,
+        ErrorCode.UNKNOWN_PIPELINE,
+        ErrorCode.UNKNOWN_ORGANISATION,
+        ErrorCode.DEADLINE_PASSED,
+        ErrorCode.DEADLINE_UNREACHABLE,
+        ErrorCode.OVER_LIMIT,
+        ErrorCode.KEY_REQUIRED,
+        ErrorCode.KEY_MALFORMED,
+        ErrorCode.KEY_MISMATCH,
+        ErrorCode.SUSPECTED_CRASH,
+        ErrorCode.STOPPING,
+        ErrorCode.NOT_READY
+    )
 
 private fun SapphireleverException.toFindings(): List<FindingMessage> = findings.map {
     FindingMessage(it.place.source, it.place.line, it.place.field, it.message)
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/host/BadInputTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/host/BadInputTest.kt
@@ -6,6 +6,7 @@
 import kotlin.test.assertTrue
 import kotlinx.coroutines.async
 import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.runtime.http.outcomeOf
 import org.sapphirelever.wire.ErrorMessage
 import org.sapphirelever.wire.MessageJson
 
@@ -102,4 +103,20 @@
         assertTrue("sapphirelever_requests_total{code=\"ok\"" in metrics, metrics)
         assertTrue("\"total\":" in host.get("/v1/report").bodyAsText())
     }
+
+    @Test
+    fun `an error that can follow a stage never tells that the request did not run`() {
+        val unknown =
+            listOf(
+                ErrorCode.INTERNAL,
+                ErrorCode.KEY_EXPIRED,
+                ErrorCode.KEY_OWNER_GONE,
+                ErrorCode.KEY_OWNER_UNREACHABLE,
+                ErrorCode.TARGET_FAILED,
+                ErrorCode.TARGET_LOST,
+                ErrorCode.TRUNCATED,
+                ErrorCode.DEADLINE_EXCEEDED
+            )
+        unknown.forEach { assertEquals("outcome-unknown", outcomeOf(it), it.text) }
+    }
 }
