--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/request/RequestExecutorTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/request/RequestExecutorTest.kt
@@ -34,6 +34,8 @@
 import org.sapphirelever.core.resource.Service
 import org.sapphirelever.core.resource.ServiceKind
 import org.sapphirelever.core.resource.Stage
+import org.sapphirelever.decisions.admission.AdmissionState
+import org.sapphirelever.decisions.admission.DispatchRules
 import org.sapphirelever.decisions.attempt.AnswerIdentity
 import org.sapphirelever.decisions.attempt.AttemptResult
 import org.sapphirelever.decisions.attempt.RefusalReason
@@ -44,7 +46,7 @@
 import org.sapphirelever.decisions.routing.Target
 import org.sapphirelever.decisions.routing.TargetPolicy
 import org.sapphirelever.runtime.StateCell
-import org.sapphirelever.runtime.dispatch.ImmediateDispatcher
+import org.sapphirelever.runtime.dispatch.QueueingDispatcher
 import org.sapphirelever.runtime.target.CallResult
 import org.sapphirelever.runtime.target.TargetCall
 import org.sapphirelever.runtime.target.TargetClient
@@ -161,7 +163,8 @@
                 }
                 val cancelled = explanation.attempts.count { it.result == "cancelled" }
                 assertEquals(cancelled, world.cancelled, case.name)
-                assertEquals(0, world.routing.value.outstanding.size, "grants left: ${case.name}")
+                val outstanding = world.routing.value.statistics.values.sumOf { it.calls.size }
+                assertEquals(0, outstanding, "grants left: ${case.name}")
             }
         }
     }
@@ -207,7 +210,14 @@
         var cancelled = 0
         val routing = StateCell(RoutingState(TARGETS))
         private val repetition = RepetitionState()
-        private val dispatcher = ImmediateDispatcher(routing, FIRST, clock, Random(1))
+        private val dispatcher =
+            QueueingDispatcher(
+                routing,
+                StateCell(AdmissionState()),
+                DispatchRules(FIRST),
+                clock,
+                Random(1)
+            ) { null }
         private val executor = RequestExecutor(dispatcher, this, clock, repetition)
 
         init {
