--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/configuration/ConfigurationState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/configuration/ConfigurationState.kt
@@ -4,6 +4,9 @@
  */
 package org.sapphirelever.decisions.configuration
 
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.sapphirelever.core.Revision
 import org.sapphirelever.core.resource.Configuration
 import org.sapphirelever.decisions.Decision
@@ -14,21 +17,39 @@
  *
  * @property inForce the adopted configuration
  * @property greatestAnnounced greatest revision that any peer or the platform announced
+ * @property sourcesAsked whether the peers and the platform were asked, or none of them exist
+ * @property ready whether the host may serve. It stays true: a host that serves continues with
+ *   the revision in force while a newer one is on its way
+ * @property history earlier configurations, from which differences are computed
  */
 public data class ConfigurationState(
     public val inForce: Configuration = Configuration(),
-    public val greatestAnnounced: Revision = Revision.NONE
+    public val greatestAnnounced: Revision = Revision.NONE,
+    public val sourcesAsked: Boolean = false,
+    public val ready: Boolean = false,
+    public val history: PersistentList<Configuration> = persistentListOf()
 ) {
-    /** Whether the host may serve: it has a configuration and none newer is known to exist. */
-    public val ready: Boolean
-        get() = inForce.revision > Revision.NONE && inForce.revision >= greatestAnnounced
+    /** Why the host is not ready; empty if it is. */
+    public val notReadyReason: String
+        get() = when {
+            ready -> ""
+            !sourcesAsked -> "the other entry hosts have not been asked yet"
+            inForce.revision == Revision.NONE -> "no peer and no platform has a configuration"
+            else -> "revision $greatestAnnounced is announced, ${inForce.revision} is in force"
+        }
 }
 
 /** What a host learns about configurations. */
 public sealed interface ConfigurationEvent {
     public data class Received(public val configuration: Configuration) : ConfigurationEvent
 
+    /** A difference, which applies only to the revision it starts from. */
+    public data class ChangeReceived(public val change: ConfigurationChange) : ConfigurationEvent
+
     public data class Announced(public val revision: Revision) : ConfigurationEvent
+
+    /** Every source that a starting host can ask has been asked or does not answer. */
+    public data object SourcesAsked : ConfigurationEvent
 }
 
 /** What the host does after it learned something. */
@@ -46,7 +67,9 @@
     event: ConfigurationEvent
 ): Decision<ConfigurationState, ConfigurationAction> = when (event) {
     is ConfigurationEvent.Received -> onReceived(event.configuration)
+    is ConfigurationEvent.ChangeReceived -> onChange(event.change)
     is ConfigurationEvent.Announced -> onAnnounced(event.revision)
+    ConfigurationEvent.SourcesAsked -> copy(sourcesAsked = true).latchReady().decide()
 }
 
 private fun ConfigurationState.onReceived(
@@ -55,9 +78,20 @@
     if (received.revision <= inForce.revision) {
         return decide(ConfigurationAction.Ignored(received.revision))
     }
-    val announced = maxOf(greatestAnnounced, received.revision)
-    return copy(inForce = received, greatestAnnounced = announced)
-        .decide(ConfigurationAction.Adopted(received))
+    val adopted = copy(
+        inForce = received,
+        greatestAnnounced = maxOf(greatestAnnounced, received.revision),
+        history = history.add(inForce).takeLast(HISTORY).toPersistentList()
+    )
+    return adopted.latchReady().decide(ConfigurationAction.Adopted(received))
+}
+
+private fun ConfigurationState.onChange(
+    change: ConfigurationChange
+): Decision<ConfigurationState, ConfigurationAction> = when {
+    change.to <= inForce.revision -> decide(ConfigurationAction.Ignored(change.to))
+    change.from != inForce.revision -> onAnnounced(change.to)
+    else -> onReceived(inForce.applying(change))
 }
 
 private fun ConfigurationState.onAnnounced(
@@ -67,3 +101,11 @@
     return copy(greatestAnnounced = maxOf(greatestAnnounced, revision))
         .decide(ConfigurationAction.Fetch(revision))
 }
+
+private fun ConfigurationState.latchReady(): ConfigurationState {
+    val current = inForce.revision > Revision.NONE && inForce.revision >= greatestAnnounced
+    return if (sourcesAsked && current) copy(ready = true) else this
+}
+
+/** Earlier revisions kept for differences; a host further behind receives the whole document. */
+private const val HISTORY = 16
--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/Links.kt
@@ -0,0 +1,44 @@
+/*
+ * Links of a host: inside its data centre to the members at distance 1, 2, 4, ... on a ring by
+ * hash, and to one host in each of up to two other data centres. The cost for each host grows
+ * with the logarithm of the data centre, and the ring of data centres keeps the graph connected.
+ */
+package org.sapphirelever.decisions.membership
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.toPersistentSet
+import org.sapphirelever.core.DataCentre
+
+/** Members that this host opens connections to. */
+public fun MembershipState.desiredLinks(): PersistentSet<MemberId> =
+    (ringLinks() + remoteLinks()).toPersistentSet()
+
+private fun MembershipState.ringLinks(): List<MemberId> {
+    val ring = live(own.dataCentre).map { it.id }
+        .sortedWith(compareBy({ rendezvousRank("ring", it) }, { it }))
+    val position = ring.indexOf(own.id)
+    if (position < 0) return emptyList()
+    return generateSequence(1) { it * 2 }
+        .takeWhile { it < ring.size }
+        .map { ring[(position + it) % ring.size] }
+        .toList()
+}
+
+private fun MembershipState.remoteLinks(): List<MemberId> =
+    remoteDataCentres().mapNotNull { dataCentre ->
+        val candidates = live(dataCentre).map { it.id }
+            .sortedBy { rendezvousRank("remote/${own.id}", it) }
+        val turn = remoteTurns[dataCentre] ?: 0
+        candidates.getOrNull(if (candidates.isEmpty()) 0 else turn % candidates.size)
+    }
+
+/** The next data centre in order of names, and one more that differs from host to host. */
+private fun MembershipState.remoteDataCentres(): List<DataCentre> {
+    val all = members.values.filter { it.member.isLive }.map { it.member.dataCentre.value }
+        .plus(own.dataCentre.value).distinct().sorted()
+    val others = all.filter { it != own.dataCentre.value }
+    if (others.isEmpty()) return emptyList()
+    val next = others.firstOrNull { it > own.dataCentre.value } ?: others.first()
+    val further = others.filter { it != next }.minByOrNull { rendezvousRank("far/$it", own.id) }
+    return listOfNotNull(next, further).map(::DataCentre)
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
@@ -0,0 +1,198 @@
+/*
+ * Decisions of membership: merging updates, refuting suspicions, detecting failures by silence
+ * and choosing what a heartbeat carries.
+ */
+package org.sapphirelever.decisions.membership
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.Incarnation
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.decisions.Decision
+
+/** What happens to membership. */
+public sealed interface MembershipEvent {
+    /** A message of [from] arrived with [updates]. */
+    public data class Received(
+        public val from: MemberId?,
+        public val updates: List<Member>,
+        public val now: MonotonicTime
+    ) : MembershipEvent
+
+    /** Time has passed. */
+    public data class Tick(public val now: MonotonicTime) : MembershipEvent
+
+    /** This host stops as planned; [successor] took over its keys. */
+    public data class Leave(
+        public val now: MonotonicTime,
+        public val successor: Incarnation? = null
+    ) : MembershipEvent
+}
+
+/** What membership tells the runtime. */
+public sealed interface MembershipAction {
+    /** The status of a member changed; [member] is new if [before] is null. */
+    public data class StatusChanged(public val member: Member, public val before: MemberStatus?) :
+        MembershipAction
+
+    /** This host refuted a suspicion, or took a new generation after it was marked dead. */
+    public data class Refuted(public val own: Member) : MembershipAction
+
+    public data class ReachabilityChanged(
+        public val dataCentre: DataCentre,
+        public val reachable: Boolean
+    ) : MembershipAction
+}
+
+/** Updates for one heartbeat. */
+public data class HeartbeatUpdates(public val members: PersistentList<Member>)
+
+public fun MembershipState.on(event: MembershipEvent): Decision<MembershipState, MembershipAction> =
+    when (event) {
+        is MembershipEvent.Received -> onReceived(event)
+        is MembershipEvent.Tick -> onTick(event.now)
+        is MembershipEvent.Leave -> onLeave(event)
+    }
+
+private fun MembershipState.onReceived(
+    event: MembershipEvent.Received
+): Decision<MembershipState, MembershipAction> {
+    val now = event.now
+    val heardFrom = if (event.from == null) this else hear(event.from, now)
+    val foreign = event.updates.filter { it.id != own.id }
+    val merged = foreign.fold(heardFrom) { state, update -> state.record(update, now) }
+    val claims = event.updates.filter { it.id == own.id }
+    return claims.fold(merged) { state, claim -> state.defend(claim, now) }.changesFrom(this)
+}
+
+private fun MembershipState.hear(from: MemberId, now: MonotonicTime): MembershipState {
+    val dataCentre = members[from]?.member?.dataCentre
+    val reached = if (dataCentre == null) unreachable else unreachable.remove(dataCentre)
+    val times = if (from in heard) heard.put(from, now) else heard
+    return copy(heard = times, unreachable = reached)
+}
+
+/** Answers a record of this host that says it is suspected, dead or left while it is alive. */
+private fun MembershipState.defend(claim: Member, now: MonotonicTime): MembershipState {
+    if (claim.status == MemberStatus.ALIVE || own.status == MemberStatus.LEFT) return this
+    val renewed = if (claim.status.isFinal) {
+        own.copy(id = own.id.copy(generation = own.id.generation + 1), version = 0)
+    } else {
+        own.copy(version = maxOf(own.version, claim.version + 1))
+    }
+    val defended = if (claim.status.isFinal) record(claim, now) else this
+    return defended.copy(own = renewed).record(renewed, now)
+}
+
+private fun MembershipState.onTick(
+    now: MonotonicTime
+): Decision<MembershipState, MembershipAction> = forgetFinal(now)
+    .followLinks(now)
+    .suspectSilent(now)
+    .buryOverdue(now)
+    .followLinks(now)
+    .changesFrom(this)
+
+private fun MembershipState.forgetFinal(now: MonotonicTime): MembershipState {
+    val expired = members.filterValues { !it.member.isLive && now - it.since > terms.tombstone }
+    if (expired.isEmpty()) return this
+    return copy(members = expired.keys.fold(members) { left, id -> left.remove(id) })
+}
+
+/** Starts the silence clock of new links and stops that of links that are no longer wanted. */
+private fun MembershipState.followLinks(now: MonotonicTime): MembershipState {
+    val links = desiredLinks()
+    if (links == heard.keys) return this
+    return copy(heard = links.associateWith { heard[it] ?: now }.toPersistentMap())
+}
+
+private fun MembershipState.suspectSilent(now: MonotonicTime): MembershipState =
+    heard.filterValues { now - it > terms.suspectAfter }.keys.fold(this) { state, id ->
+        val member = state.members[id]?.member
+        when {
+            member == null -> state
+            member.dataCentre != own.dataCentre -> state.loseRemote(member, now)
+            member.status != MemberStatus.ALIVE -> state
+            else -> state.record(member.copy(status = MemberStatus.SUSPECT), now)
+        }
+    }
+
+/** A silent link to another data centre says nothing of the host; the next host is tried. */
+private fun MembershipState.loseRemote(member: Member, now: MonotonicTime): MembershipState {
+    val turn = (remoteTurns[member.dataCentre] ?: 0) + 1
+    return copy(
+        unreachable = unreachable.add(member.dataCentre),
+        remoteTurns = remoteTurns.put(member.dataCentre, turn),
+        heard = heard.put(member.id, now)
+    )
+}
+
+/** Only hosts of the same data centre declare a member dead. */
+private fun MembershipState.buryOverdue(now: MonotonicTime): MembershipState = members.values
+    .filter { it.member.status == MemberStatus.SUSPECT }
+    .filter { it.member.dataCentre == own.dataCentre && now - it.since > terms.deadAfter }
+    .fold(this) { state, it -> state.record(it.member.copy(status = MemberStatus.DEAD), now) }
+
+private fun MembershipState.onLeave(
+    event: MembershipEvent.Leave
+): Decision<MembershipState, MembershipAction> {
+    val left = own.copy(status = MemberStatus.LEFT, successor = event.successor)
+    return copy(own = left).record(left, event.now).changesFrom(this)
+}
+
+private fun MembershipState.changesFrom(
+    before: MembershipState
+): Decision<MembershipState, MembershipAction> {
+    if (this == before) return Decision(this)
+    val statuses = if (members === before.members) {
+        emptyList()
+    } else {
+        members.values
+            .filter { before.members[it.member.id]?.member?.status != it.member.status }
+            .map {
+                val earlier = before.members[it.member.id]?.member?.status
+                MembershipAction.StatusChanged(it.member, earlier)
+            }
+    }
+    val refuted = if (own == before.own || own.status == MemberStatus.LEFT) {
+        emptyList()
+    } else {
+        listOf(MembershipAction.Refuted(own))
+    }
+    val reached = (before.unreachable - unreachable)
+        .map { MembershipAction.ReachabilityChanged(it, reachable = true) }
+    val lost = (unreachable - before.unreachable)
+        .map { MembershipAction.ReachabilityChanged(it, reachable = false) }
+    return Decision(this, (statuses + refuted + reached + lost).toPersistentList())
+}
+
+/**
+ * Chooses the updates of one heartbeat: news with the most spreads left first, then, if the peer
+ * announced a table that differs, a few members in turn.
+ */
+public fun MembershipState.composeUpdates(
+    tableDiffers: Boolean
+): Decision<MembershipState, HeartbeatUpdates> {
+    val news = members.values.filter { it.spreadsLeft > 0 }
+        .sortedWith(compareBy({ -it.spreadsLeft }, { it.member.id }))
+        .take(terms.updates)
+    val spread = news.fold(members) { table, entry ->
+        table.put(entry.member.id, entry.copy(spreadsLeft = entry.spreadsLeft - 1))
+    }
+    val room = if (tableDiffers) minOf(terms.repairs, terms.updates - news.size) else 0
+    val repairs = if (room > 0) nextForRepair(room) else emptyList()
+    val state = copy(members = spread, repairCursor = repairs.lastOrNull()?.id ?: repairCursor)
+    val chosen = (news.map { it.member } + repairs).distinctBy { it.id }
+    return Decision(state, persistentListOf(HeartbeatUpdates(chosen.toPersistentList())))
+}
+
+private fun MembershipState.nextForRepair(count: Int): List<Member> {
+    val ordered = members.keys.sorted()
+    val cursor = repairCursor
+    val start = if (cursor == null) 0 else ordered.indexOfFirst { it > cursor }.coerceAtLeast(0)
+    return (0 until minOf(count, ordered.size))
+        .map { members.getValue(ordered[(start + it) % ordered.size]).member }
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipState.kt
@@ -0,0 +1,99 @@
+/*
+ * Membership as one host sees it: the table of members, the silence of its links and the updates
+ * that it still has to pass on.
+ */
+package org.sapphirelever.decisions.membership
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.MonotonicTime
+
+/**
+ * Times and bounds of membership.
+ *
+ * @property suspectAfter silence of a link after which its member is suspected: 3 heartbeats
+ * @property deadAfter time from suspicion to death, in which the member may refute
+ * @property tombstone time for which a dead or left member is remembered
+ * @property updates greatest number of updates on one heartbeat
+ * @property repairs updates of those that a heartbeat may spend on repairing a differing table
+ */
+public data class MembershipTerms(
+    public val heartbeat: Duration = 2.seconds,
+    public val suspectAfter: Duration = 6.seconds,
+    public val deadAfter: Duration = 10.seconds,
+    public val tombstone: Duration = 10.minutes,
+    public val updates: Int = 8,
+    public val repairs: Int = 2
+)
+
+/** A record, the local time of its last change of status, and how often to pass it on. */
+public data class MemberEntry(
+    public val member: Member,
+    public val since: MonotonicTime,
+    public val spreadsLeft: Int
+)
+
+/**
+ * State of membership of one host.
+ *
+ * @property own the record of this host
+ * @property members all records, that of this host among them
+ * @property heard time of the last message on each link, or of its first attempt
+ * @property unreachable data centres whose linked hosts are silent
+ * @property remoteTurns number of the host that is linked in each other data centre
+ * @property repairCursor last member sent for repair
+ */
+public data class MembershipState(
+    public val own: Member,
+    public val terms: MembershipTerms = MembershipTerms(),
+    public val members: PersistentMap<MemberId, MemberEntry> = persistentMapOf(),
+    public val heard: PersistentMap<MemberId, MonotonicTime> = persistentMapOf(),
+    public val unreachable: PersistentSet<DataCentre> = persistentSetOf(),
+    public val remoteTurns: PersistentMap<DataCentre, Int> = persistentMapOf(),
+    public val repairCursor: MemberId? = null
+) {
+    /** Members of [dataCentre] that are not known to be dead or gone. */
+    public fun live(dataCentre: DataCentre): List<Member> = members.values
+        .map { it.member }
+        .filter { it.dataCentre == dataCentre && it.isLive }
+
+    /**
+     * Hash of the records that are not final; equal tables have equal hashes. Final records are
+     * left out because each host forgets them at its own time.
+     */
+    public val tableHash: Long
+        get() = members.values.filter { it.member.isLive }
+            .sumOf { stableHash("${it.member.id}/${it.member.version}/${it.member.status}") }
+
+    public companion object {
+        /** State of a host that knows only itself. */
+        public fun starting(
+            own: Member,
+            now: MonotonicTime,
+            terms: MembershipTerms = MembershipTerms()
+        ): MembershipState = MembershipState(own, terms).record(own, now)
+    }
+}
+
+/** Merges [member] into the table; a record that is news is passed on again. */
+internal fun MembershipState.record(member: Member, now: MonotonicTime): MembershipState {
+    val known = members[member.id]
+    val merged = known?.member?.merge(member) ?: member
+    if (merged == known?.member) return this
+    val since = if (known?.member?.status == merged.status) known.since else now
+    return copy(members = members.put(member.id, MemberEntry(merged, since, spreads())))
+}
+
+/** Each host passes an update on once over each link, counting links in both directions. */
+private fun MembershipState.spreads(): Int {
+    val size = members.size + 1
+    return 2 * (Int.SIZE_BITS - size.countLeadingZeroBits()) + REMOTE_SPREADS
+}
+
+private const val REMOTE_SPREADS = 4
