Name the field labels of peer messages and shorten two decisions

Change: named labels, one extracted function, named lambda parameters. Ruled out: excluding the file from the magic number rule.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/configuration/ConfigurationChange.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/configuration/ConfigurationChange.kt
@@ -41,7 +41,9 @@
 
 /** This configuration after [change], which must start from its revision. */
 public fun Configuration.applying(change: ConfigurationChange): Configuration {
-    val kept = change.removed.fold(this) { current, it -> current.without(it.kind, it.name) }
+    val kept = change.removed.fold(this) { current, gone ->
+        current.without(gone.kind, gone.name)
+    }
     val changed = change.changed.fold(kept) { current, resource -> current.with(resource) }
     return changed.copy(
         revision = change.to,
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/configuration/TargetListState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/configuration/TargetListState.kt
@@ -112,7 +112,7 @@
                 report.observedAt - known.observedAt > SAME_OBSERVATION
         }
     if (news.isEmpty()) return decide()
-    val merged = news.fold(health) { all, it -> all.put(it.target, it) }
+    val merged = news.fold(health) { all, report -> all.put(report.target, report) }
     return changed(copy(health = merged))
 }
 
@@ -132,8 +132,8 @@
     val chosen = health.values.filter { it.spreadsLeft > 0 }
         .sortedWith(compareBy({ -it.spreadsLeft }, { it.target.value }))
         .take(HEALTH_REPORTS)
-    val spread = chosen.fold(health) { all, it ->
-        all.put(it.target, it.copy(spreadsLeft = it.spreadsLeft - 1))
+    val spread = chosen.fold(health) { all, report ->
+        all.put(report.target, report.copy(spreadsLeft = report.spreadsLeft - 1))
     }
     return Decision(copy(health = spread), chosen.toPersistentList())
 }
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/lease/LeaseState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/lease/LeaseState.kt
@@ -72,10 +72,7 @@
 
 private fun LeaseState.onTick(event: LeaseEvent.Tick): Decision<LeaseState, LeaseAction> {
     val lease = held
-    if (!event.eligible) {
-        if (lease == null) return decide()
-        return copy(held = null).decide(LeaseAction.Release(lease.fencing))
-    }
+    if (!event.eligible) return withdraw()
     val due = nextCall
     if (due != null && event.now < due) return decide()
     val waiting = copy(nextCall = event.now + terms.renewEvery)
@@ -84,3 +81,8 @@
     }
     return waiting.decide(LeaseAction.Renew(lease.fencing))
 }
+
+private fun LeaseState.withdraw(): Decision<LeaseState, LeaseAction> {
+    val lease = held ?: return decide()
+    return copy(held = null).decide(LeaseAction.Release(lease.fencing))
+}
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
@@ -134,7 +134,9 @@
 private fun MembershipState.buryOverdue(now: MonotonicTime): MembershipState = members.values
     .filter { it.member.status == MemberStatus.SUSPECT }
     .filter { it.member.dataCentre == own.dataCentre && now - it.since > terms.deadAfter }
-    .fold(this) { state, it -> state.record(it.member.copy(status = MemberStatus.DEAD), now) }
+    .fold(this) { state, overdue ->
+        state.record(overdue.member.copy(status = MemberStatus.DEAD), now)
+    }
 
 private fun MembershipState.onLeave(
     event: MembershipEvent.Leave
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMessage.kt
@@ -12,50 +12,63 @@
 import org.sapphirelever.wire.OutcomeMessage
 import org.sapphirelever.wire.RequestMessage
 
+/** Labels of fields, in the order in which a message declares them. */
+internal object FieldLabel {
+    const val FIRST = 1L
+    const val SECOND = 2L
+    const val THIRD = 3L
+    const val FOURTH = 4L
+    const val FIFTH = 5L
+    const val SIXTH = 6L
+    const val SEVENTH = 7L
+    const val EIGHTH = 8L
+    const val NINTH = 9L
+}
+
 /** A message on a connection between two entry hosts. */
 @Serializable
 public sealed interface PeerMessage
 
 @Serializable
 public data class EndpointMessage(
-    @CborLabel(1) public val address: String,
-    @CborLabel(2) public val port: Int
+    @CborLabel(FieldLabel.FIRST) public val address: String,
+    @CborLabel(FieldLabel.SECOND) public val port: Int
 )
 
 @Serializable
 public data class MemberMessage(
-    @CborLabel(1) public val incarnation: String,
-    @CborLabel(2) public val generation: Int = 0,
-    @CborLabel(3) public val host: String,
-    @CborLabel(4) public val dataCentre: String,
-    @CborLabel(5) public val peer: EndpointMessage,
-    @CborLabel(6) public val http: EndpointMessage,
-    @CborLabel(7) public val version: Int = 0,
-    @CborLabel(8) public val status: Int = 0,
-    @CborLabel(9) public val successor: String? = null
+    @CborLabel(FieldLabel.FIRST) public val incarnation: String,
+    @CborLabel(FieldLabel.SECOND) public val generation: Int = 0,
+    @CborLabel(FieldLabel.THIRD) public val host: String,
+    @CborLabel(FieldLabel.FOURTH) public val dataCentre: String,
+    @CborLabel(FieldLabel.FIFTH) public val peer: EndpointMessage,
+    @CborLabel(FieldLabel.SIXTH) public val http: EndpointMessage,
+    @CborLabel(FieldLabel.SEVENTH) public val version: Int = 0,
+    @CborLabel(FieldLabel.EIGHTH) public val status: Int = 0,
+    @CborLabel(FieldLabel.NINTH) public val successor: String? = null
 )
 
 /** A report that a target is leaving or dead; [ageMillis] is the time since it was observed. */
 @Serializable
 public data class TargetHealthMessage(
-    @CborLabel(1) public val target: String,
-    @CborLabel(2) public val dead: Boolean = false,
-    @CborLabel(3) public val ageMillis: Long = 0
+    @CborLabel(FieldLabel.FIRST) public val target: String,
+    @CborLabel(FieldLabel.SECOND) public val dead: Boolean = false,
+    @CborLabel(FieldLabel.THIRD) public val ageMillis: Long = 0
 )
 
 /** A mark that a request preceded the crash of a target. */
 @Serializable
 public data class CrashMarkMessage(
-    @CborLabel(1) public val fingerprint: String,
-    @CborLabel(2) public val target: String,
-    @CborLabel(3) public val ageMillis: Long = 0
+    @CborLabel(FieldLabel.FIRST) public val fingerprint: String,
+    @CborLabel(FieldLabel.SECOND) public val target: String,
+    @CborLabel(FieldLabel.THIRD) public val ageMillis: Long = 0
 )
 
 /** Position of a target list: the fencing number of its reader, then a count. */
 @Serializable
 public data class TargetVersionMessage(
-    @CborLabel(1) public val fencing: Long = 0,
-    @CborLabel(2) public val number: Long = 0
+    @CborLabel(FieldLabel.FIRST) public val fencing: Long = 0,
+    @CborLabel(FieldLabel.SECOND) public val number: Long = 0
 )
 
 /**
@@ -67,37 +80,37 @@
  */
 @Serializable
 public data class GossipMessage(
-    @CborLabel(1) public val revision: Long = 0,
-    @CborLabel(2) public val announced: Long = 0,
-    @CborLabel(3) public val ready: Boolean = false,
-    @CborLabel(4) public val tableHash: Long = 0,
-    @CborLabel(5) public val targets: TargetVersionMessage = TargetVersionMessage(),
-    @CborLabel(6) public val members: List<MemberMessage> = emptyList(),
-    @CborLabel(7) public val marks: List<CrashMarkMessage> = emptyList(),
-    @CborLabel(8) public val health: List<TargetHealthMessage> = emptyList()
+    @CborLabel(FieldLabel.FIRST) public val revision: Long = 0,
+    @CborLabel(FieldLabel.SECOND) public val announced: Long = 0,
+    @CborLabel(FieldLabel.THIRD) public val ready: Boolean = false,
+    @CborLabel(FieldLabel.FOURTH) public val tableHash: Long = 0,
+    @CborLabel(FieldLabel.FIFTH) public val targets: TargetVersionMessage = TargetVersionMessage(),
+    @CborLabel(FieldLabel.SIXTH) public val members: List<MemberMessage> = emptyList(),
+    @CborLabel(FieldLabel.SEVENTH) public val marks: List<CrashMarkMessage> = emptyList(),
+    @CborLabel(FieldLabel.EIGHTH) public val health: List<TargetHealthMessage> = emptyList()
 )
 
 /** First message in each direction. [expected] names the process that the sender wants. */
 @Serializable
 @SerialName("hello")
 public data class Hello(
-    @CborLabel(1) public val member: MemberMessage,
-    @CborLabel(2) public val knownMembers: Int = 1,
-    @CborLabel(3) public val expected: String = ""
+    @CborLabel(FieldLabel.FIRST) public val member: MemberMessage,
+    @CborLabel(FieldLabel.SECOND) public val knownMembers: Int = 1,
+    @CborLabel(FieldLabel.THIRD) public val expected: String = ""
 ) : PeerMessage
 
 @Serializable
 @SerialName("beat")
 public data class Heartbeat(
-    @CborLabel(1) public val sequence: Long,
-    @CborLabel(2) public val gossip: GossipMessage
+    @CborLabel(FieldLabel.FIRST) public val sequence: Long,
+    @CborLabel(FieldLabel.SECOND) public val gossip: GossipMessage
 ) : PeerMessage
 
 @Serializable
 @SerialName("reply")
 public data class HeartbeatReply(
-    @CborLabel(1) public val sequence: Long,
-    @CborLabel(2) public val gossip: GossipMessage
+    @CborLabel(FieldLabel.FIRST) public val sequence: Long,
+    @CborLabel(FieldLabel.SECOND) public val gossip: GossipMessage
 ) : PeerMessage
 
 /** The whole member table, for a host that knows only itself. */
@@ -109,8 +122,8 @@
 @Serializable
 @SerialName("want")
 public data class ConfigurationRequest(
-    @CborLabel(1) public val have: Long,
-    @CborLabel(2) public val targets: TargetVersionMessage = TargetVersionMessage()
+    @CborLabel(FieldLabel.FIRST) public val have: Long,
+    @CborLabel(FieldLabel.SECOND) public val targets: TargetVersionMessage = TargetVersionMessage()
 ) : PeerMessage
 
 /**
@@ -135,19 +148,19 @@
 
 @Serializable
 public data class TargetMessage(
-    @CborLabel(1) public val id: String,
-    @CborLabel(2) public val service: String,
-    @CborLabel(3) public val dataCentre: String,
-    @CborLabel(4) public val endpoint: EndpointMessage,
-    @CborLabel(5) public val leaving: Boolean = false
+    @CborLabel(FieldLabel.FIRST) public val id: String,
+    @CborLabel(FieldLabel.SECOND) public val service: String,
+    @CborLabel(FieldLabel.THIRD) public val dataCentre: String,
+    @CborLabel(FieldLabel.FOURTH) public val endpoint: EndpointMessage,
+    @CborLabel(FieldLabel.FIFTH) public val leaving: Boolean = false
 )
 
 @Serializable
 @SerialName("targets")
 public data class TargetList(
-    @CborLabel(1) public val dataCentre: String,
-    @CborLabel(2) public val version: TargetVersionMessage,
-    @CborLabel(3) public val targets: List<TargetMessage>
+    @CborLabel(FieldLabel.FIRST) public val dataCentre: String,
+    @CborLabel(FieldLabel.SECOND) public val version: TargetVersionMessage,
+    @CborLabel(FieldLabel.THIRD) public val targets: List<TargetMessage>
 ) : PeerMessage
 
 @Serializable
@@ -181,4 +194,5 @@
 /** The sender stops as planned. */
 @Serializable
 @SerialName("leaving")
-public data class Leaving(@CborLabel(1) public val member: MemberMessage) : PeerMessage
+public data class Leaving(@CborLabel(FieldLabel.FIRST) public val member: MemberMessage) :
+    PeerMessage
