Link entry hosts and read the platform once for each data centre

Cause: each host watched the platform itself, knew no peers, and a write answered with the newest revision instead of that of its own change. Change: peer links over Ktor sockets under a dynamic child set, key messages on their own connections, an elected reader under a lease, the first configuration from peers or the platform, the writer as an interpreter of the pure write protocol, and the resource API with delete, watch, status and dry run. Experiments run the same protocol on virtual time. Ruled out: pushing each change over all links, which sends it up to ten times to each host; a change is announced and pulled once.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/Links.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/Links.kt
@@ -14,8 +14,9 @@
     (ringLinks() + remoteLinks()).toPersistentSet()
 
 private fun MembershipState.ringLinks(): List<MemberId> {
-    val ring = live(own.dataCentre).map { it.id }
-        .sortedWith(compareBy({ rendezvousRank("ring", it) }, { it }))
+    val ring = live(own.dataCentre).map { it.id to rendezvousRank("ring", it.id) }
+        .sortedWith(compareBy({ it.second }, { it.first }))
+        .map { it.first }
     val position = ring.indexOf(own.id)
     if (position < 0) return emptyList()
     return generateSequence(1) { it * 2 }
@@ -26,10 +27,11 @@
 
 private fun MembershipState.remoteLinks(): List<MemberId> =
     remoteDataCentres().mapNotNull { dataCentre ->
-        val candidates = live(dataCentre).map { it.id }
-            .sortedBy { rendezvousRank("remote/${own.id}", it) }
+        val candidates = live(dataCentre).map { it.id to rendezvousRank("remote/${own.id}", it.id) }
+            .sortedBy { it.second }
+            .map { it.first }
         val turn = remoteTurns[dataCentre] ?: 0
-        candidates.getOrNull(if (candidates.isEmpty()) 0 else turn % candidates.size)
+        if (candidates.isEmpty()) null else candidates[turn % candidates.size]
     }
 
 /** The next data centre in order of names, and one more that differs from host to host. */
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
@@ -104,9 +104,10 @@
 
 /** Starts the silence clock of new links and stops that of links that are no longer wanted. */
 private fun MembershipState.followLinks(now: MonotonicTime): MembershipState {
-    val links = desiredLinks()
-    if (links == heard.keys) return this
-    return copy(heard = links.associateWith { heard[it] ?: now }.toPersistentMap())
+    val inputs = LinkInputs(tableHash, own.id, remoteTurns)
+    if (inputs == linkedFor) return this
+    val times = desiredLinks().associateWith { heard[it] ?: now }.toPersistentMap()
+    return copy(heard = times, linkedFor = inputs)
 }
 
 private fun MembershipState.suspectSilent(now: MonotonicTime): MembershipState =
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipState.kt
@@ -32,6 +32,13 @@
     public val repairs: Int = 2
 )
 
+/** The links depend only on these, so they are computed again only when one of them changes. */
+public data class LinkInputs(
+    public val tableHash: Long,
+    public val own: MemberId,
+    public val turns: PersistentMap<DataCentre, Int>
+)
+
 /** A record, the local time of its last change of status, and how often to pass it on. */
 public data class MemberEntry(
     public val member: Member,
@@ -48,6 +55,9 @@
  * @property unreachable data centres whose linked hosts are silent
  * @property remoteTurns number of the host that is linked in each other data centre
  * @property repairCursor last member sent for repair
+ * @property tableHash hash of the records that are not final; equal tables have equal hashes.
+ *   Final records are left out because each host forgets them at its own time
+ * @property linkedFor what the present links were computed from
  */
 public data class MembershipState(
     public val own: Member,
@@ -56,21 +66,15 @@
     public val heard: PersistentMap<MemberId, MonotonicTime> = persistentMapOf(),
     public val unreachable: PersistentSet<DataCentre> = persistentSetOf(),
     public val remoteTurns: PersistentMap<DataCentre, Int> = persistentMapOf(),
-    public val repairCursor: MemberId? = null
+    public val repairCursor: MemberId? = null,
+    public val tableHash: Long = 0,
+    public val linkedFor: LinkInputs? = null
 ) {
     /** Members of [dataCentre] that are not known to be dead or gone. */
     public fun live(dataCentre: DataCentre): List<Member> = members.values
         .map { it.member }
         .filter { it.dataCentre == dataCentre && it.isLive }
 
-    /**
-     * Hash of the records that are not final; equal tables have equal hashes. Final records are
-     * left out because each host forgets them at its own time.
-     */
-    public val tableHash: Long
-        get() = members.values.filter { it.member.isLive }
-            .sumOf { stableHash("${it.member.id}/${it.member.version}/${it.member.status}") }
-
     public companion object {
         /** State of a host that knows only itself. */
         public fun starting(
@@ -87,9 +91,16 @@
     val merged = known?.member?.merge(member) ?: member
     if (merged == known?.member) return this
     val since = if (known?.member?.status == merged.status) known.since else now
-    return copy(members = members.put(member.id, MemberEntry(merged, since, spreads())))
+    return copy(
+        members = members.put(member.id, MemberEntry(merged, since, spreads())),
+        tableHash = tableHash - (known?.member?.tableShare() ?: 0) + merged.tableShare()
+    )
 }
 
+/** Share of one record in the hash, which is their sum and so does not depend on their order. */
+private fun Member.tableShare(): Long =
+    if (isLive) stableHash("$id/$version/${status.ordinal}") else 0
+
 /** Each host passes an update on once over each link, counting links in both directions. */
 private fun MembershipState.spreads(): Int {
     val size = members.size + 1
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ConfigurationWriter.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ConfigurationWriter.kt
@@ -1,18 +1,21 @@
 /*
- * Writes of the configuration document: compare-and-swap with a change identity. An unclear reply
- * is resolved by reading the document back.
+ * Writes of the configuration document. The decision on each reply is pure; this class carries
+ * its steps out.
  */
 package org.sapphirelever.runtime.feed
 
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.encodeToString
 import org.sapphirelever.core.ErrorCode
 import org.sapphirelever.core.Revision
 import org.sapphirelever.core.SapphireleverException
-import org.sapphirelever.core.resource.ChangeRecord
 import org.sapphirelever.core.resource.Configuration
 import org.sapphirelever.core.resource.validate
+import org.sapphirelever.decisions.configuration.WriteDecision
+import org.sapphirelever.decisions.configuration.WriteEvent
+import org.sapphirelever.decisions.configuration.WriteState
+import org.sapphirelever.decisions.configuration.WriteStep
+import org.sapphirelever.decisions.configuration.next
+import org.sapphirelever.decisions.configuration.on
 import org.sapphirelever.platform.Platform
 import org.sapphirelever.platform.StoredValue
 import org.sapphirelever.platform.WriteResult
@@ -21,6 +24,9 @@
 import org.sapphirelever.wire.toConfiguration
 import org.sapphirelever.wire.toMessage
 
+/** Key of the configuration document on the platform. */
+public const val CONFIGURATION_KEY: String = "sapphirelever/configuration"
+
 /** A change of the configuration. [identity] marks the write, so that it can be recognised. */
 public data class Change(
     public val identity: String,
@@ -29,92 +35,92 @@
 )
 
 public class ConfigurationWriter(private val platform: Platform) {
+    private data class Stored(val configuration: Configuration, val platformRevision: Long)
+
     /**
-     * Applies [change] and returns the accepted configuration.
+     * Applies [change] and returns the revision that accepted it, which is not the newest one if
+     * others wrote since.
      *
      * @throws SapphireleverException with [ErrorCode.REVISION_CONFLICT], [ErrorCode.WRITE_UNKNOWN],
      *   [ErrorCode.PLATFORM_UNAVAILABLE], [ErrorCode.INVALID_RESOURCE] or
      *   [ErrorCode.CONFIGURATION_TOO_LARGE]
      */
-    public suspend fun write(change: Change): Configuration {
-        repeat(MAXIMUM_TRIES) {
-            val stored =
-                platform.read(CONFIGURATION_KEY)
-                    ?: throw SapphireleverException(ErrorCode.PLATFORM_UNAVAILABLE)
-            val current = stored.configuration()
-            val own = current.recentChanges.firstOrNull { it.change == change.identity }
-            if (own != null) return current
-            requireExpected(change, current)
-            val next = next(change, current)
-            when (
-                val result = platform.compareAndSwap(
-                    CONFIGURATION_KEY,
-                    stored.revision,
-                    encode(next)
-                )
-            ) {
-                is WriteResult.Written -> return next
-
-                is WriteResult.Unavailable ->
-                    throw SapphireleverException(ErrorCode.PLATFORM_UNAVAILABLE, result.reason)
-
-                // Read again: the write may have won, or another change may have.
-                is WriteResult.Conflict, is WriteResult.Unclear -> Unit
+    public suspend fun write(change: Change): Revision {
+        var stored = Stored(Configuration(), 0)
+        var decision = WriteDecision(WriteState(change.identity, change.expected), WriteStep.Read)
+        while (true) {
+            val event = when (val step = decision.step) {
+                WriteStep.Read -> {
+                    val read = platform.read(CONFIGURATION_KEY)
+                    if (read != null) stored = Stored(read.toConfiguration(), read.revision)
+                    read?.let { WriteEvent.ReadBack(stored.configuration) } ?: WriteEvent.ReadFailed
+                }
+
+                is WriteStep.Swap -> swap(decision.state, change, stored)
+
+                is WriteStep.Accepted -> return step.revision
+
+                is WriteStep.Conflict -> throw conflict(step)
+
+                WriteStep.PlatformUnavailable ->
+                    throw SapphireleverException(ErrorCode.PLATFORM_UNAVAILABLE)
+
+                WriteStep.Unknown -> throw SapphireleverException(ErrorCode.WRITE_UNKNOWN)
             }
+            decision = decision.state.on(event)
         }
-        throw SapphireleverException(ErrorCode.WRITE_UNKNOWN)
     }
 
-    private fun requireExpected(change: Change, current: Configuration) {
-        val expected = change.expected ?: return
-        if (expected == current.revision) return
-        throw SapphireleverException(
-            ErrorCode.REVISION_CONFLICT,
-            "expected revision $expected, in force is ${current.revision}"
-        )
+    private suspend fun swap(state: WriteState, change: Change, stored: Stored): WriteEvent {
+        val base = stored.configuration
+        val next = state.next(base, changed(state, change, base))
+        val text = encode(state, next)
+        return when (platform.compareAndSwap(CONFIGURATION_KEY, stored.platformRevision, text)) {
+            is WriteResult.Written -> WriteEvent.Written(next.revision)
+            is WriteResult.Conflict -> WriteEvent.Refused
+            is WriteResult.Unclear -> WriteEvent.Unclear(next.revision)
+            is WriteResult.Unavailable -> WriteEvent.Unavailable
+        }
     }
 
-    private fun next(change: Change, current: Configuration): Configuration {
-        val revision = Revision(current.revision.value + 1)
-        val next =
-            change
-                .apply(current)
-                .copy(
-                    revision = revision,
-                    recentChanges = current.recentChanges.remembering(change.identity, revision)
-                )
-        val findings = validate(next)
-        if (findings.isNotEmpty()) {
-            throw SapphireleverException(ErrorCode.INVALID_RESOURCE, findings = findings)
-        }
-        return next
+    /** A change that became invalid may have been accepted by an earlier try that is unclear. */
+    private fun changed(state: WriteState, change: Change, base: Configuration): Configuration {
+        val changed = change.apply(base)
+        val findings = validate(changed)
+        if (findings.isEmpty()) return changed
+        if (state.mayStillTakeEffect(base)) throw SapphireleverException(ErrorCode.WRITE_UNKNOWN)
+        throw SapphireleverException(ErrorCode.INVALID_RESOURCE, findings = findings)
     }
 
-    private fun PersistentList<ChangeRecord>.remembering(
-        identity: String,
-        revision: Revision
-    ): PersistentList<ChangeRecord> =
-        add(ChangeRecord(identity, revision)).takeLast(REMEMBERED_CHANGES).toPersistentList()
+    private fun WriteState.mayStillTakeEffect(base: Configuration): Boolean =
+        lastUnclear?.let { base.revision < it } ?: false
 
-    private fun encode(configuration: Configuration): String {
-        val text = MessageJson.encodeToString(configuration.toMessage())
-        if (text.length > MAXIMUM_BYTES) {
-            throw SapphireleverException(ErrorCode.CONFIGURATION_TOO_LARGE)
+    private fun encode(state: WriteState, next: Configuration): String {
+        val text = MessageJson.encodeToString(next.toMessage())
+        if (text.encodeToByteArray().size <= MAXIMUM_BYTES) return text
+        val code = if (state.lastUnclear == null) {
+            ErrorCode.CONFIGURATION_TOO_LARGE
+        } else {
+            ErrorCode.WRITE_UNKNOWN
         }
-        return text
+        throw SapphireleverException(code, "the document may have $MAXIMUM_BYTES bytes")
     }
 
-    private fun StoredValue.configuration(): Configuration = if (revision == 0L) {
-        Configuration()
-    } else {
-        MessageJson.decodeFromString<ConfigurationMessage>(value).toConfiguration()
+    private fun conflict(step: WriteStep.Conflict): SapphireleverException {
+        val winner = step.winner?.let { ", written by change $it" }.orEmpty()
+        val message = "revision ${step.revision} won$winner"
+        return SapphireleverException(ErrorCode.REVISION_CONFLICT, message)
     }
 
     private companion object {
-        const val MAXIMUM_TRIES = 5
-        const val REMEMBERED_CHANGES = 256
-
-        /** The platform holds values up to 1 MB; the margin leaves room for multi-byte names. */
+        /** The platform holds values up to 1 MB; the rest is a margin. */
         const val MAXIMUM_BYTES = 900_000
     }
 }
+
+/** The document that the platform holds; empty if none has ever been written. */
+public fun StoredValue.toConfiguration(): Configuration = if (revision == 0L) {
+    Configuration()
+} else {
+    MessageJson.decodeFromString<ConfigurationMessage>(value).toConfiguration()
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
@@ -0,0 +1,128 @@
+/*
+ * Reads of the platform. In each data centre one host under a lease keeps a watch on the
+ * configuration and reads the host list; the others learn both over the links. The load on the
+ * platform depends on the number of data centres and not on that of hosts.
+ */
+package org.sapphirelever.runtime.feed
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.delay
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.configuration.targetsFor
+import org.sapphirelever.decisions.lease.LeaseAction
+import org.sapphirelever.decisions.lease.LeaseEvent
+import org.sapphirelever.decisions.lease.LeaseState
+import org.sapphirelever.decisions.lease.on
+import org.sapphirelever.decisions.membership.readerCandidates
+import org.sapphirelever.decisions.routing.Target
+import org.sapphirelever.platform.LeaseResult
+import org.sapphirelever.platform.ListedHost
+import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.peer.PeerProtocol
+
+/** Reader of the platform for the data centre of this host, while it holds the lease. */
+public class ElectedReader(private val platform: Platform, private val protocol: PeerProtocol) {
+    private val lease = StateCell(LeaseState())
+    private val clock = protocol.state.clock
+    private val own = protocol.own
+    private val holder = own.id.incarnation.value
+    private val name = "sapphirelever/reader/${own.dataCentre}"
+
+    /** Contends for the lease, if this host is one of the two candidates, and renews it. */
+    public suspend fun elect() {
+        while (true) {
+            val now = clock.now()
+            lease.decide { it.on(LeaseEvent.Tick(now, eligible())) }.forEach { carryOut(it) }
+            delay(POLL)
+        }
+    }
+
+    /** Keeps one watch on the document while the lease is held. */
+    public suspend fun followDocument() {
+        var seen = 0L
+        whileHolding {
+            val wait = minOf(WATCH_WAIT, remaining())
+            val value = platform.watch(CONFIGURATION_KEY, seen, wait)
+            if (value == null) {
+                delay(READ_INTERVAL)
+            } else if (mayAct()) {
+                protocol.adopt(value.toConfiguration())
+                seen = value.revision
+            }
+        }
+    }
+
+    /** Reads the host list once a second while the lease is held. */
+    public suspend fun readHosts() {
+        whileHolding {
+            val fencing = lease.value.held?.fencing
+            val hosts = platform.hosts()
+            if (hosts != null && fencing != null && mayAct()) {
+                val targets = targetsFor(own.dataCentre, hosts.map { it.toTarget() })
+                protocol.readTargets(fencing.value, targets)
+            }
+            delay(READ_INTERVAL)
+        }
+    }
+
+    /** Gives the lease up at a planned stop, so that the other candidate need not wait. */
+    public suspend fun release() {
+        val now = clock.now()
+        lease.decide { it.on(LeaseEvent.Tick(now, eligible = false)) }.forEach { carryOut(it) }
+    }
+
+    private fun eligible(): Boolean {
+        val membership = protocol.state.membership.value
+        return membership.own.isLive &&
+            membership.own.id in membership.readerCandidates(own.dataCentre)
+    }
+
+    private suspend fun whileHolding(act: suspend () -> Unit) {
+        while (true) if (mayAct()) act() else delay(POLL)
+    }
+
+    private fun mayAct(): Boolean = lease.value.mayAct(clock.now())
+
+    private fun remaining(): Duration =
+        (lease.value.actUntil ?: MonotonicTime.ZERO).minus(clock.now()).coerceAtLeast(POLL)
+
+    private suspend fun carryOut(action: LeaseAction) {
+        val terms = lease.value.terms
+        val sentAt = clock.now()
+        val result = when (action) {
+            LeaseAction.Acquire -> platform.acquireLease(name, holder, terms.timeToLive)
+
+            is LeaseAction.Renew ->
+                platform.renewLease(name, holder, action.fencing, terms.timeToLive)
+
+            is LeaseAction.Release -> return platform.releaseLease(name, holder, action.fencing)
+        }
+        val event = when (result) {
+            is LeaseResult.Held -> LeaseEvent.Granted(result.fencing, sentAt)
+            is LeaseResult.HeldByOther -> LeaseEvent.HeldByOther
+            is LeaseResult.Unclear -> LeaseEvent.Unclear
+        }
+        lease.decide { it.on(event) }
+    }
+
+    private fun ListedHost.toTarget(): Target = Target(
+        id = TargetId(id),
+        service = ServiceName(service),
+        dataCentre = DataCentre(dataCentre),
+        endpoint = Endpoint(address, port),
+        leaving = leaving
+    )
+
+    private companion object {
+        val WATCH_WAIT = 20.seconds
+        val READ_INTERVAL = 1.seconds
+        val POLL = 500.milliseconds
+    }
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -1,15 +1,15 @@
 /*
- * The entry host: one supervisor tree over the configuration feed, the target list and the HTTP
- * front end.
+ * The entry host: one supervisor tree over the configuration, the links to other hosts and
+ * the HTTP front end.
  */
 package org.sapphirelever.runtime.host
 
 import java.util.UUID
 import kotlin.random.Random
+import kotlinx.collections.immutable.toPersistentMap
 import org.sapphirelever.core.Incarnation
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.SystemMonotonicClock
-import org.sapphirelever.decisions.configuration.ConfigurationState
 import org.sapphirelever.decisions.routing.LeastOutstandingPolicy
 import org.sapphirelever.decisions.routing.RoutingState
 import org.sapphirelever.decisions.routing.TargetPolicy
@@ -18,13 +18,12 @@
 import org.sapphirelever.platform.Platform
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.dispatch.ImmediateDispatcher
-import org.sapphirelever.runtime.feed.ConfigurationFeed
 import org.sapphirelever.runtime.feed.ConfigurationWriter
-import org.sapphirelever.runtime.feed.TargetListFeed
 import org.sapphirelever.runtime.http.HttpFrontEnd
 import org.sapphirelever.runtime.http.Routes
 import org.sapphirelever.runtime.http.healthRoutes
 import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.peer.PeerNetwork
 import org.sapphirelever.runtime.request.RequestExecutor
 import org.sapphirelever.runtime.request.RequestRoutes
 import org.sapphirelever.runtime.resource.ResourceRoutes
@@ -35,7 +34,7 @@
 /** One entry host. [run] serves until it is cancelled. */
 public class EntryHost(
     private val settings: HostSettings,
-    private val platform: Platform,
+    platform: Platform,
     client: TargetClient,
     policy: TargetPolicy = LeastOutstandingPolicy,
     clock: MonotonicClock = SystemMonotonicClock,
@@ -43,14 +42,20 @@
 ) {
     public val incarnation: Incarnation = Incarnation(UUID.randomUUID().toString())
 
-    private val configuration = StateCell(ConfigurationState())
     private val routing = StateCell(RoutingState())
+
+    /** Links to other entry hosts, and the configuration in force. */
+    public val network: PeerNetwork =
+        PeerNetwork(settings, incarnation, platform, clock) { targets ->
+            routing.update { it.copy(targets = targets.toPersistentMap()) }
+        }
+    private val configuration = network.state.configuration
     private val dispatcher = ImmediateDispatcher(routing, policy, clock, random)
     private val executor = RequestExecutor(dispatcher, client, clock)
     private val requests =
         RequestRoutes(settings.host, settings.bodyLimit, configuration, executor, clock)
     private val resources =
-        ResourceRoutes(settings.bodyLimit, configuration, ConfigurationWriter(platform))
+        ResourceRoutes(settings.bodyLimit, network.protocol, ConfigurationWriter(platform))
 
     public suspend fun run() {
         logEvent("host-started") {
@@ -65,8 +70,10 @@
     private fun tree(): Supervisor =
         supervisor("entry-host", RestartPolicy(Strategy.REST_FOR_ONE)) {
             supervisor("configuration", RestartPolicy(Strategy.ONE_FOR_ONE)) {
-                child("document") { ConfigurationFeed(platform, configuration).run() }
-                child("target-list") { TargetListFeed(platform, routing).run() }
+                network.configuration(this)
+            }
+            supervisor("membership", RestartPolicy(Strategy.ONE_FOR_ONE)) {
+                network.membership(this)
             }
             supervisor("front-end", RestartPolicy(Strategy.ONE_FOR_ONE)) {
                 child("http") { HttpFrontEnd(settings.http, routes()).run() }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerConnection.kt
@@ -0,0 +1,74 @@
+/*
+ * One connection between two entry hosts: frames of messages over a socket.
+ */
+package org.sapphirelever.runtime.peer
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import java.io.Closeable
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.wire.peer.PeerMessage
+import org.sapphirelever.wire.peer.decodePeerMessage
+import org.sapphirelever.wire.peer.encodePeerMessage
+import org.sapphirelever.wire.peer.requireFrameSize
+
+/** The peer sent nothing, or took nothing, for longer than the bound. */
+public class SilentPeerException(message: String) : IOException(message)
+
+/** Messages over [socket]. Several tasks may send; one task receives. */
+public class PeerConnection(private val socket: Socket) : Closeable {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+    private val writing = Mutex()
+
+    /** Sends [message]; throws [SilentPeerException] if the peer takes nothing within [limit]. */
+    public suspend fun send(message: PeerMessage, limit: Duration = SEND_LIMIT) {
+        val body = encodePeerMessage(message)
+        withTimeoutOrNull(limit) {
+            writing.withLock {
+                output.writeInt(body.size)
+                output.writeByteArray(body)
+                output.flush()
+            }
+        } ?: throw SilentPeerException("the peer took no data for $limit")
+    }
+
+    /** The next message; throws [SilentPeerException] if none comes within [limit]. */
+    public suspend fun receive(limit: Duration): PeerMessage = withTimeoutOrNull(limit) {
+        val size = input.readInt()
+        requireFrameSize(size)
+        decodePeerMessage(input.readByteArray(size))
+    } ?: throw SilentPeerException("the peer sent nothing for $limit")
+
+    override fun close() {
+        socket.close()
+    }
+
+    public companion object {
+        public val SEND_LIMIT: Duration = 6.seconds
+        private val CONNECT_LIMIT = 2.seconds
+
+        /** Opens a connection to [peer]; throws [IOException] if there is none in time. */
+        public suspend fun open(selector: SelectorManager, peer: Endpoint): PeerConnection {
+            val address = InetSocketAddress(peer.address, peer.port)
+            val socket =
+                withTimeoutOrNull(CONNECT_LIMIT) { aSocket(selector).tcp().connect(address) }
+                    ?: throw SilentPeerException("no connection to $peer in $CONNECT_LIMIT")
+            return PeerConnection(socket)
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerLinks.kt
@@ -0,0 +1,174 @@
+/*
+ * Links to other entry hosts: a listener with one task for each connection, and one task for each
+ * peer that this host links to.
+ */
+package org.sapphirelever.runtime.peer
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.aSocket
+import java.io.IOException
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.drop
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.supervisorScope
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.Incarnation
+import org.sapphirelever.decisions.membership.MemberId
+import org.sapphirelever.decisions.supervision.RestartPolicy
+import org.sapphirelever.runtime.keys.KeyHandoverOffer
+import org.sapphirelever.runtime.keys.KeyOwner
+import org.sapphirelever.runtime.keys.KeyRequests
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.supervision.ChildSet
+import org.sapphirelever.wire.peer.ForwardRequest
+import org.sapphirelever.wire.peer.ForwardedOutcome
+import org.sapphirelever.wire.peer.Hello
+import org.sapphirelever.wire.peer.KeyHandover
+import org.sapphirelever.wire.peer.KeyHandoverAccepted
+import org.sapphirelever.wire.peer.PeerMessage
+import org.sapphirelever.wire.peer.toEndpoint
+import org.sapphirelever.wire.peer.toMember
+
+/** A peer to link to; [expected] is null for a seed, whose process is not known yet. */
+public data class LinkKey(public val peer: Endpoint, public val expected: MemberId?)
+
+/** Keeps the links of the host with [protocol]. Messages about keys go to [keys]. */
+public class PeerLinks(
+    private val protocol: PeerProtocol,
+    private val selector: SelectorManager,
+    private val seeds: List<Endpoint>,
+    private val keys: () -> KeyRequests?
+) {
+    private val desired = MutableStateFlow<Set<LinkKey>>(emptySet())
+
+    /** Completes once a peer has told its revision; a starting host waits for it. */
+    public val firstReport: CompletableDeferred<Unit> = CompletableDeferred()
+
+    /** Accepts connections at [endpoint] until it is cancelled. */
+    public suspend fun listen(endpoint: Endpoint) {
+        val address = InetSocketAddress(endpoint.address, endpoint.port)
+        aSocket(selector).tcp().bind(address) { reuseAddress = true }.use { server ->
+            supervisorScope {
+                while (true) {
+                    val connection = PeerConnection(server.accept())
+                    launch { connection.use { serve(it) } }
+                }
+            }
+        }
+    }
+
+    /** Runs one task for each peer that this host links to. */
+    public suspend fun link() {
+        ChildSet<LinkKey>("links", LINK_POLICY) { connect(it) }.run(desired)
+    }
+
+    /** Lets time pass for membership and follows the links it asks for. */
+    public suspend fun detectFailures() {
+        while (true) {
+            protocol.tick()
+            desired.value = wanted()
+            delay(TICK)
+        }
+    }
+
+    private fun wanted(): Set<LinkKey> {
+        val membership = protocol.state.membership.value
+        if (!membership.own.isLive) return desired.value
+        val members = membership.heard.keys.mapNotNull { membership.members[it]?.member }
+        val known = membership.members.values.map { it.member }.filter { it.isLive }.map { it.peer }
+        val unknownSeeds = seeds.filter { it !in known }
+        return members.filter { it.peer.port != 0 }.map { LinkKey(it.peer, it.id) }.toSet() +
+            unknownSeeds.map { LinkKey(it, null) }
+    }
+
+    private suspend fun connect(key: LinkKey) {
+        PeerConnection.open(selector, key.peer).use { connection ->
+            connection.send(protocol.hello(key.expected?.incarnation))
+            val hello = connection.receive(SILENCE) as? Hello
+                ?: throw IOException("${key.peer} did not start with a hello")
+            val peer = hello.member.toMember().id
+            if (key.expected != null && key.expected.incarnation != peer.incarnation) {
+                throw IOException("${key.peer} is now process ${peer.incarnation}")
+            }
+            protocol.receive(peer, hello).forEach { connection.send(it) }
+            converse(connection, peer, beats = true)
+        }
+    }
+
+    private suspend fun serve(connection: PeerConnection) {
+        try {
+            val hello = connection.receive(SILENCE) as? Hello ?: return
+            connection.send(protocol.hello())
+            val peer = hello.member.toMember().id
+            val wanted = hello.expected
+            if (wanted.isNotEmpty() && wanted != protocol.own.id.incarnation.value) return
+            protocol.receive(peer, hello).forEach { connection.send(it) }
+            converse(connection, peer, beats = false)
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (failure: Exception) {
+            logEvent("peer-connection-ended") { "failure" to failure }
+        }
+    }
+
+    /** Runs one connection until it fails; the side that opened it sends the heartbeats. */
+    private suspend fun converse(connection: PeerConnection, peer: MemberId, beats: Boolean) {
+        coroutineScope {
+            if (beats) launch { beat(connection, peer) }
+            launch {
+                protocol.news.drop(1).collect { connection.send(protocol.heartbeat(peer, 0)) }
+            }
+            while (true) handle(connection, peer, connection.receive(SILENCE))
+        }
+    }
+
+    private suspend fun beat(connection: PeerConnection, peer: MemberId) {
+        var sequence = 1L
+        while (true) {
+            connection.send(protocol.heartbeat(peer, sequence++))
+            delay(protocol.state.membership.value.terms.heartbeat)
+        }
+    }
+
+    private suspend fun handle(connection: PeerConnection, peer: MemberId, message: PeerMessage) {
+        when (message) {
+            is ForwardRequest -> connection.send(run(message))
+
+            is KeyHandover -> connection.send(KeyHandoverAccepted(takeOver(message)))
+
+            else -> {
+                protocol.receive(peer, message).forEach { connection.send(it) }
+                if (peer in protocol.state.reports.value) firstReport.complete(Unit)
+            }
+        }
+    }
+
+    /** The handler knows whether this process owns the key, by minting or by handover. */
+    private suspend fun run(forward: ForwardRequest): ForwardedOutcome =
+        ForwardedOutcome(forward.number, keys()?.run(forward.request))
+
+    private suspend fun takeOver(handover: KeyHandover): Boolean {
+        val owner = KeyOwner(Incarnation(handover.incarnation), handover.peer.toEndpoint())
+        return keys()?.takeOver(KeyHandoverOffer(owner, handover.claims)) ?: false
+    }
+
+    public companion object {
+        /** A connection that brings nothing for three heartbeats is closed. */
+        public val SILENCE: kotlin.time.Duration = 6.seconds
+        private val TICK = 500.milliseconds
+
+        /** A peer may be down for long; its task tries again without end. */
+        private val LINK_POLICY = RestartPolicy(
+            firstDelay = 250.milliseconds,
+            greatestDelay = 2.seconds,
+            restarts = Int.MAX_VALUE
+        )
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerProtocol.kt
@@ -0,0 +1,304 @@
+/*
+ * The conversation between entry hosts without its sockets: what a host sends on a heartbeat and
+ * how it answers each message. Links carry the messages; experiments call this class directly.
+ */
+package org.sapphirelever.runtime.peer
+
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.update
+import org.sapphirelever.core.Incarnation
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.Revision
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.resource.Configuration
+import org.sapphirelever.decisions.configuration.ConfigurationAction
+import org.sapphirelever.decisions.configuration.ConfigurationEvent
+import org.sapphirelever.decisions.configuration.TargetHealth
+import org.sapphirelever.decisions.configuration.TargetListAction
+import org.sapphirelever.decisions.configuration.TargetListEvent
+import org.sapphirelever.decisions.configuration.changeSince
+import org.sapphirelever.decisions.configuration.composeHealth
+import org.sapphirelever.decisions.configuration.on
+import org.sapphirelever.decisions.membership.Member
+import org.sapphirelever.decisions.membership.MemberId
+import org.sapphirelever.decisions.membership.MembershipAction
+import org.sapphirelever.decisions.membership.MembershipEvent
+import org.sapphirelever.decisions.membership.composeUpdates
+import org.sapphirelever.decisions.membership.on
+import org.sapphirelever.decisions.routing.Target
+import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.wire.peer.ConfigurationDelta
+import org.sapphirelever.wire.peer.ConfigurationRequest
+import org.sapphirelever.wire.peer.ConfigurationSnapshot
+import org.sapphirelever.wire.peer.CrashMarkMessage
+import org.sapphirelever.wire.peer.GossipMessage
+import org.sapphirelever.wire.peer.Heartbeat
+import org.sapphirelever.wire.peer.HeartbeatReply
+import org.sapphirelever.wire.peer.Hello
+import org.sapphirelever.wire.peer.Leaving
+import org.sapphirelever.wire.peer.MemberTable
+import org.sapphirelever.wire.peer.PeerMessage
+import org.sapphirelever.wire.peer.TargetHealthMessage
+import org.sapphirelever.wire.peer.TargetList
+import org.sapphirelever.wire.peer.toChange
+import org.sapphirelever.wire.peer.toMember
+import org.sapphirelever.wire.peer.toMessage
+import org.sapphirelever.wire.peer.toTarget
+import org.sapphirelever.wire.peer.toVersion
+import org.sapphirelever.wire.toConfiguration
+import org.sapphirelever.wire.toMessage
+
+/** Conversation of the host with [state]; [onTargets] takes each new set of targets. */
+public class PeerProtocol(
+    public val state: PeerState,
+    private val marks: MarkExchange = MarkExchange.None,
+    private val onTargets: (Map<TargetId, Target>) -> Unit = {}
+) {
+    /** The newest version that was asked for, so that not every peer is asked at once. */
+    private data class Asked(val revision: Revision, val at: MonotonicTime)
+
+    private val asked = StateCell<Asked?>(null)
+    private val newsCount = MutableStateFlow(0L)
+
+    /** Counts changes that peers should hear of before the next heartbeat. */
+    public val news: StateFlow<Long> = newsCount.asStateFlow()
+
+    public val own: Member get() = state.membership.value.own
+
+    public fun hello(expected: Incarnation? = null): Hello = Hello(
+        member = own.toMessage(),
+        knownMembers = state.membership.value.members.size,
+        expected = expected?.value.orEmpty()
+    )
+
+    public fun heartbeat(to: MemberId, sequence: Long): PeerMessage =
+        if (own.isLive) Heartbeat(sequence, gossip(to)) else Leaving(own.toMessage())
+
+    /** Takes [message] of [from] and returns the answers, which go to the same peer. */
+    public fun receive(from: MemberId, message: PeerMessage): List<PeerMessage> = when (message) {
+        is Hello -> onHello(from, message)
+        is Heartbeat -> onGossip(from, message.gossip) + reply(from, message.sequence)
+        is HeartbeatReply -> onGossip(from, message.gossip)
+        is MemberTable -> none { merge(from, message.members.map { it.toMember() }) }
+        is Leaving -> none { merge(from, listOf(message.member.toMember())) }
+        is ConfigurationRequest -> onRequest(message)
+        is ConfigurationDelta -> onDelta(message)
+        is ConfigurationSnapshot -> none { adopt(message.configuration.toConfiguration()) }
+        is TargetList -> none { onTargetList(message) }
+        else -> emptyList()
+    }
+
+    /** Lets time pass: failure detection and expiry. */
+    public fun tick() {
+        val now = state.clock.now()
+        state.membership.decide { it.on(MembershipEvent.Tick(now)) }.forEach(::log)
+        changeTargets(TargetListEvent.Tick(now))
+    }
+
+    /** Offers a configuration of the platform or of a peer. */
+    public fun adopt(configuration: Configuration) {
+        decideConfiguration(ConfigurationEvent.Received(configuration))
+    }
+
+    /** Takes the host list that this host read as the elected reader with [fencing]. */
+    public fun readTargets(fencing: Long, targets: List<Target>) {
+        changeTargets(TargetListEvent.Read(fencing, targets))
+    }
+
+    /** Tells all peers at once that [target] is leaving or dead. */
+    public fun report(target: TargetId, dead: Boolean) {
+        val now = state.clock.now()
+        changeTargets(TargetListEvent.Reported(listOf(TargetHealth(target, dead, now)), now))
+    }
+
+    /** Marks this host as gone; its links send `Leaving` from now on. */
+    public fun leave(successor: Incarnation? = null) {
+        val event = MembershipEvent.Leave(state.clock.now(), successor)
+        state.membership.decide { it.on(event) }.forEach(::log)
+        newsCount.update { it + 1 }
+    }
+
+    private fun none(act: () -> Unit): List<PeerMessage> {
+        act()
+        return emptyList()
+    }
+
+    /** A host that knows less than half of the members is sent the whole table. */
+    private fun onHello(from: MemberId, hello: Hello): List<PeerMessage> {
+        merge(from, listOf(hello.member.toMember()))
+        val members = state.membership.value.members
+        if (hello.knownMembers * 2 >= members.size) return emptyList()
+        return listOf(MemberTable(members.values.map { it.member.toMessage() }))
+    }
+
+    private fun reply(to: MemberId, sequence: Long): PeerMessage =
+        if (own.isLive) HeartbeatReply(sequence, gossip(to)) else Leaving(own.toMessage())
+
+    private fun gossip(to: MemberId): GossipMessage {
+        val membership = state.membership.value
+        val differs = state.reports.value[to]?.let { it.tableHash != membership.tableHash } ?: false
+        val updates = state.membership.decide { it.composeUpdates(differs) }.single().members
+        val now = state.clock.now()
+        val health = state.targets.decide { it.composeHealth() }
+        val configuration = state.configuration.value
+        return GossipMessage(
+            revision = configuration.inForce.revision.value,
+            announced = configuration.greatestAnnounced.value,
+            ready = configuration.ready,
+            tableHash = membership.tableHash,
+            targets = state.targets.value.version.toMessage(),
+            members = updates.map { it.toMessage() },
+            marks = marks.compose(MARKS).map {
+                CrashMarkMessage(it.fingerprint, it.target.value, it.age.inWholeMilliseconds)
+            },
+            health = health.map {
+                val age = now - it.observedAt
+                TargetHealthMessage(it.target.value, it.dead, age.inWholeMilliseconds)
+            }
+        )
+    }
+
+    private fun onGossip(from: MemberId, gossip: GossipMessage): List<PeerMessage> {
+        merge(from, gossip.members.map { it.toMember() })
+        val report = PeerReport(
+            revision = Revision(gossip.revision),
+            announced = Revision(gossip.announced),
+            ready = gossip.ready,
+            tableHash = gossip.tableHash
+        )
+        state.reports.update { it.put(from, report) }
+        marks.receive(
+            gossip.marks.map {
+                CrashMark(it.fingerprint, TargetId(it.target), it.ageMillis.milliseconds)
+            }
+        )
+        takeHealth(gossip.health)
+        val newest = maxOf(gossip.revision, gossip.announced)
+        decideConfiguration(ConfigurationEvent.Announced(Revision(newest)))
+        return listOfNotNull(request(from, gossip))
+    }
+
+    private fun takeHealth(health: List<TargetHealthMessage>) {
+        if (health.isEmpty()) return
+        val now = state.clock.now()
+        val reports = health.map {
+            TargetHealth(TargetId(it.target), it.dead, now - it.ageMillis.milliseconds)
+        }
+        changeTargets(TargetListEvent.Reported(reports, now))
+    }
+
+    /** Asks a peer that has something newer, unless another peer was just asked for it. */
+    private fun request(from: MemberId, gossip: GossipMessage): ConfigurationRequest? {
+        val have = state.configuration.value.inForce.revision
+        val version = state.targets.value.version
+        val sameDataCentre =
+            state.membership.value.members[from]?.member?.dataCentre == own.dataCentre
+        val targetsBehind = sameDataCentre && gossip.targets.toVersion() > version
+        if (!targetsBehind && !mayAsk(have, Revision(gossip.revision))) return null
+        return ConfigurationRequest(have.value, version.toMessage())
+    }
+
+    private fun mayAsk(have: Revision, offered: Revision): Boolean {
+        if (offered <= have) return false
+        val now = state.clock.now()
+        val last = asked.value
+        if (last != null && last.revision >= offered && now - last.at < ASK_AGAIN) return false
+        asked.update { Asked(offered, now) }
+        return true
+    }
+
+    private fun onRequest(request: ConfigurationRequest): List<PeerMessage> {
+        val configuration = state.configuration.value
+        val have = Revision(request.have)
+        val document = when {
+            configuration.inForce.revision <= have -> null
+
+            else ->
+                configuration.changeSince(have)?.toMessage()
+                    ?: ConfigurationSnapshot(configuration.inForce.toMessage())
+        }
+        val targets = state.targets.value
+        val list = if (targets.version > request.targets.toVersion()) {
+            TargetList(
+                own.dataCentre.value,
+                targets.version.toMessage(),
+                targets.listed.map { it.toMessage() }
+            )
+        } else {
+            null
+        }
+        return listOfNotNull(document, list)
+    }
+
+    /** A difference from another revision does not apply; the whole state is asked for. */
+    private fun onDelta(delta: ConfigurationDelta): List<PeerMessage> {
+        val actions = decideConfiguration(ConfigurationEvent.ChangeReceived(delta.toChange()))
+        if (actions.none { it is ConfigurationAction.Fetch }) return emptyList()
+        val have = state.configuration.value.inForce.revision.value
+        return listOf(ConfigurationRequest(have, state.targets.value.version.toMessage()))
+    }
+
+    private fun onTargetList(list: TargetList) {
+        if (list.dataCentre != own.dataCentre.value) return
+        val targets = list.targets.map { it.toTarget() }
+        changeTargets(TargetListEvent.Received(list.version.toVersion(), targets))
+    }
+
+    private fun decideConfiguration(event: ConfigurationEvent): List<ConfigurationAction> {
+        val actions = state.configuration.decide { it.on(event) }
+        actions.filterIsInstance<ConfigurationAction.Adopted>().forEach { adopted ->
+            logEvent("configuration-adopted") { "revision" to adopted.configuration.revision }
+            newsCount.update { it + 1 }
+        }
+        return actions
+    }
+
+    private fun changeTargets(event: TargetListEvent) {
+        val before = state.targets.value
+        state.targets.decide { it.on(event) }.forEach { action ->
+            if (action is TargetListAction.Changed) onTargets(action.targets)
+        }
+        val after = state.targets.value
+        val reported = after.health.any { (target, health) ->
+            before.health[target]?.observedAt != health.observedAt
+        }
+        if (after.version != before.version || reported) newsCount.update { it + 1 }
+    }
+
+    private fun merge(from: MemberId, updates: List<Member>) {
+        val event = MembershipEvent.Received(from, updates, state.clock.now())
+        state.membership.decide { it.on(event) }.forEach(::log)
+    }
+
+    private fun log(action: MembershipAction) {
+        when (action) {
+            is MembershipAction.StatusChanged -> logEvent("member-changed") {
+                "member" to action.member.host
+                "incarnation" to action.member.id
+                "status" to action.member.status.text
+            }
+
+            is MembershipAction.Refuted -> logEvent("suspicion-refuted") {
+                "generation" to action.own.id.generation
+                "version" to action.own.version
+            }
+
+            is MembershipAction.ReachabilityChanged -> logEvent("data-centre-reachability") {
+                "dataCentre" to action.dataCentre
+                "reachable" to action.reachable
+            }
+        }
+    }
+
+    private companion object {
+        /** Crash marks on one heartbeat. */
+        const val MARKS = 8
+
+        /** Time after which another peer is asked for a revision that has not come. */
+        val ASK_AGAIN = 1000.milliseconds
+    }
+}
--- a/wire/src/main/kotlin/org/sapphirelever/wire/ResourceMessages.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/ResourceMessages.kt
@@ -9,16 +9,20 @@
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.serialization.Serializable
 import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.Finding
 import org.sapphirelever.core.OrganisationName
 import org.sapphirelever.core.PipelineName
+import org.sapphirelever.core.Place
 import org.sapphirelever.core.Priority
 import org.sapphirelever.core.Revision
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.StageName
+import org.sapphirelever.core.collectFindings
 import org.sapphirelever.core.resource.ChangeRecord
 import org.sapphirelever.core.resource.Configuration
 import org.sapphirelever.core.resource.Organisation
 import org.sapphirelever.core.resource.Pipeline
+import org.sapphirelever.core.resource.Resource
 import org.sapphirelever.core.resource.Service
 import org.sapphirelever.core.resource.ServiceKind
 import org.sapphirelever.core.resource.Stage
@@ -76,12 +80,51 @@
     public val recentChanges: List<ChangeMessage> = emptyList()
 )
 
-/** Asks to apply [resources]. [change] identifies this write across retries. */
+/**
+ * Asks to apply [resources]. [change] identifies this write across retries; with [dryRun] they
+ * are only validated against what is in force.
+ */
 @Serializable
 public data class ApplyMessage(
     public val change: String,
     public val resources: ResourcesMessage,
-    public val expectedRevision: Long? = null
+    public val expectedRevision: Long? = null,
+    public val dryRun: Boolean = false
+)
+
+/** Result of a dry run without findings, against [revision]. */
+@Serializable
+public data class CheckedMessage(public val valid: Boolean, public val revision: Long)
+
+/**
+ * One entry host in a status reply. Fields that only its own heartbeats tell are null where this
+ * host has no link to it.
+ */
+@Serializable
+public data class HostStatusMessage(
+    public val host: String,
+    public val dataCentre: String,
+    public val incarnation: String,
+    public val status: String,
+    public val revision: Long? = null,
+    public val ready: Boolean? = null
+)
+
+/**
+ * Status of the system as [host] sees it.
+ *
+ * @property desiredRevision greatest revision that is known to exist
+ * @property reason why [host] is not ready, empty if it is
+ */
+@Serializable
+public data class StatusMessage(
+    public val host: String,
+    public val revision: Long,
+    public val desiredRevision: Long,
+    public val ready: Boolean,
+    public val reason: String,
+    public val unreachable: List<String>,
+    public val hosts: List<HostStatusMessage>
 )
 
 /** Result of an accepted change. */
@@ -169,3 +212,28 @@
     priority = Priority.fromText(priority) ?: Priority.STANDARD,
     requestsPerSecond = requestsPerSecond
 )
+
+/** All declared resources. */
+public fun ResourcesMessage.toResources(): List<Resource> = services.map { it.toService() } +
+    pipelines.map { it.toPipeline() } +
+    organisations.map { it.toOrganisation() }
+
+/** Findings that are lost in the mapping to resources: unknown words and repeated names. */
+public fun ResourcesMessage.findings(source: String): List<Finding> = collectFindings {
+    services.forEach { service ->
+        val place = Place(source, field = "services/${service.name}.type")
+        require(ServiceKind.fromText(service.type) != null, place) {
+            "type '${service.type}' is not one of ${ServiceKind.entries.map { it.text }}"
+        }
+    }
+    organisations.forEach { organisation ->
+        val place = Place(source, field = "organisations/${organisation.name}.priority")
+        require(Priority.fromText(organisation.priority) != null, place) {
+            "priority '${organisation.priority}' is not one of ${Priority.entries.map { it.text }}"
+        }
+    }
+    toResources().groupBy { it.kind to it.key }.filterValues { it.size > 1 }.keys
+        .forEach { (kind, name) ->
+            report(Place(source, field = "${kind.text}/$name"), "the name is declared twice")
+        }
+}
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMapping.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMapping.kt
@@ -3,16 +3,25 @@
  */
 package org.sapphirelever.wire.peer
 
+import kotlinx.collections.immutable.toPersistentList
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.Incarnation
+import org.sapphirelever.core.Revision
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.resource.Configuration
+import org.sapphirelever.core.resource.ResourceKind
+import org.sapphirelever.decisions.configuration.ConfigurationChange
+import org.sapphirelever.decisions.configuration.ResourceName
+import org.sapphirelever.decisions.configuration.TargetVersion
 import org.sapphirelever.decisions.membership.Member
 import org.sapphirelever.decisions.membership.MemberId
 import org.sapphirelever.decisions.membership.MemberStatus
 import org.sapphirelever.decisions.routing.Target
+import org.sapphirelever.wire.toConfiguration
+import org.sapphirelever.wire.toMessage
 
 public fun Endpoint.toMessage(): EndpointMessage = EndpointMessage(address, port)
 
@@ -26,7 +35,8 @@
     peer = peer.toMessage(),
     http = http.toMessage(),
     version = version,
-    status = status.ordinal
+    status = status.ordinal,
+    successor = successor?.value
 )
 
 /** The member; a status of a later version of the protocol reads as suspect. */
@@ -37,7 +47,8 @@
     peer = peer.toEndpoint(),
     http = http.toEndpoint(),
     version = version,
-    status = MemberStatus.entries.getOrElse(status) { MemberStatus.SUSPECT }
+    status = MemberStatus.entries.getOrElse(status) { MemberStatus.SUSPECT },
+    successor = successor?.let(::Incarnation)
 )
 
 public fun Target.toMessage(): TargetMessage =
@@ -50,3 +61,29 @@
     endpoint = endpoint.toEndpoint(),
     leaving = leaving
 )
+
+public fun TargetVersion.toMessage(): TargetVersionMessage = TargetVersionMessage(fencing, number)
+
+public fun TargetVersionMessage.toVersion(): TargetVersion = TargetVersion(fencing, number)
+
+public fun ConfigurationChange.toMessage(): ConfigurationDelta {
+    val part = changed.fold(Configuration()) { partial, resource -> partial.with(resource) }
+        .copy(revision = to, recentChanges = accepted)
+    val gone = removed.map { RemovedMessage(it.kind.text, it.name) }
+    return ConfigurationDelta(from.value, part.toMessage(), gone)
+}
+
+/** The change; removals of a kind that this version does not know are left out. */
+public fun ConfigurationDelta.toChange(): ConfigurationChange {
+    val part = changed.toConfiguration()
+    return ConfigurationChange(
+        from = Revision(from),
+        to = part.revision,
+        changed = part.resources.toPersistentList(),
+        removed = removed.mapNotNull { it.toName() }.toPersistentList(),
+        accepted = part.recentChanges
+    )
+}
+
+private fun RemovedMessage.toName(): ResourceName? =
+    ResourceKind.fromText(kind)?.let { ResourceName(it, name) }
