Test the resource API over three entry hosts and keep known tables quiet

Cause: a starting host that received the whole table passed every record on again, up to 24 times each, although the others knew them. Change: records of a whole table are not passed on; repair and news pick members without sorting the whole table. The test of three hosts now runs EntryHost with its HTTP front end: apply, dry run, conflict, delete, watch and status. Ruled out: leaving the records unrecorded until a heartbeat confirms them.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
@@ -15,11 +15,15 @@
 
 /** What happens to membership. */
 public sealed interface MembershipEvent {
-    /** A message of [from] arrived with [updates]. */
+    /**
+     * A message of [from] arrived with [updates]. News is passed on unless [passOn] is false, as
+     * for the table that a starting host receives, which the others know already.
+     */
     public data class Received(
         public val from: MemberId?,
         public val updates: List<Member>,
-        public val now: MonotonicTime
+        public val now: MonotonicTime,
+        public val passOn: Boolean = true
     ) : MembershipEvent
 
     /** Time has passed. */
@@ -63,7 +67,9 @@
     val now = event.now
     val heardFrom = if (event.from == null) this else hear(event.from, now)
     val foreign = event.updates.filter { it.id != own.id }
-    val merged = foreign.fold(heardFrom) { state, update -> state.record(update, now) }
+    val merged = foreign.fold(heardFrom) { state, update ->
+        state.record(update, now, event.passOn)
+    }
     val claims = event.updates.filter { it.id == own.id }
     return claims.fold(merged) { state, claim -> state.defend(claim, now) }.changesFrom(this)
 }
@@ -193,9 +199,13 @@
 }
 
 private fun MembershipState.nextForRepair(count: Int): List<Member> {
-    val ordered = members.keys.sorted()
-    val cursor = repairCursor
-    val start = if (cursor == null) 0 else ordered.indexOfFirst { it > cursor }.coerceAtLeast(0)
-    return (0 until minOf(count, ordered.size))
-        .map { members.getValue(ordered[(start + it) % ordered.size]).member }
+    val first = afterForRepair(repairCursor) ?: return emptyList()
+    return generateSequence(first) { afterForRepair(it) }
+        .take(count)
+        .map { members.getValue(it).member }
+        .toList()
 }
+
+/** The member after [cursor] in order of identity, or the first one after the last. */
+private fun MembershipState.afterForRepair(cursor: MemberId?): MemberId? =
+    members.keys.filter { cursor == null || it > cursor }.minOrNull() ?: members.keys.minOrNull()
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipState.kt
@@ -86,13 +86,17 @@
 }
 
 /** Merges [member] into the table; a record that is news is passed on again. */
-internal fun MembershipState.record(member: Member, now: MonotonicTime): MembershipState {
+internal fun MembershipState.record(
+    member: Member,
+    now: MonotonicTime,
+    passOn: Boolean = true
+): MembershipState {
     val known = members[member.id]
     val merged = known?.member?.merge(member) ?: member
     if (merged == known?.member) return this
     val since = if (known?.member?.status == merged.status) known.since else now
     return copy(
-        members = members.put(member.id, MemberEntry(merged, since, spreads())),
+        members = members.put(member.id, MemberEntry(merged, since, if (passOn) spreads() else 0)),
         tableHash = tableHash - (known?.member?.tableShare() ?: 0) + merged.tableShare()
     )
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerProtocol.kt
@@ -81,14 +81,25 @@
     /** Takes [message] of [from] and returns the answers, which go to the same peer. */
     public fun receive(from: MemberId, message: PeerMessage): List<PeerMessage> = when (message) {
         is Hello -> onHello(from, message)
+
         is Heartbeat -> onGossip(from, message.gossip) + reply(from, message.sequence)
+
         is HeartbeatReply -> onGossip(from, message.gossip)
-        is MemberTable -> none { merge(from, message.members.map { it.toMember() }) }
+
+        is MemberTable -> none {
+            merge(from, message.members.map { it.toMember() }, passOn = false)
+        }
+
         is Leaving -> none { merge(from, listOf(message.member.toMember())) }
+
         is ConfigurationRequest -> onRequest(message)
+
         is ConfigurationDelta -> onDelta(message)
+
         is ConfigurationSnapshot -> none { adopt(message.configuration.toConfiguration()) }
+
         is TargetList -> none { onTargetList(message) }
+
         else -> emptyList()
     }
 
@@ -269,8 +280,8 @@
         if (after.version != before.version || reported) newsCount.update { it + 1 }
     }
 
-    private fun merge(from: MemberId, updates: List<Member>) {
-        val event = MembershipEvent.Received(from, updates, state.clock.now())
+    private fun merge(from: MemberId, updates: List<Member>, passOn: Boolean = true) {
+        val event = MembershipEvent.Received(from, updates, state.clock.now(), passOn)
         state.membership.decide { it.on(event) }.forEach(::log)
     }
 
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/peer/EntryHostsTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/peer/EntryHostsTest.kt
@@ -1,7 +1,15 @@
 package org.sapphirelever.runtime.peer
 
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.delete
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
 import java.net.ServerSocket
 import kotlin.test.Test
+import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.time.Duration.Companion.seconds
@@ -9,6 +17,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
@@ -19,20 +28,19 @@
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.Incarnation
-import org.sapphirelever.core.OrganisationName
 import org.sapphirelever.core.Revision
-import org.sapphirelever.core.SystemMonotonicClock
-import org.sapphirelever.core.resource.Organisation
 import org.sapphirelever.platform.ListedHost
-import org.sapphirelever.runtime.feed.Change
-import org.sapphirelever.runtime.feed.ConfigurationWriter
 import org.sapphirelever.runtime.feed.FakePlatform
+import org.sapphirelever.runtime.host.EntryHost
 import org.sapphirelever.runtime.host.HostSettings
 import org.sapphirelever.runtime.keys.ForwardResult
 import org.sapphirelever.runtime.keys.KeyHandoverOffer
 import org.sapphirelever.runtime.keys.KeyOwner
 import org.sapphirelever.runtime.keys.KeyRequests
-import org.sapphirelever.runtime.supervision.supervisor
+import org.sapphirelever.runtime.target.CallResult
+import org.sapphirelever.runtime.target.TargetCall
+import org.sapphirelever.runtime.target.TargetClient
+import org.sapphirelever.runtime.target.TokenSink
 import org.sapphirelever.wire.OutcomeMessage
 import org.sapphirelever.wire.RequestMessage
 
@@ -51,7 +59,13 @@
         override suspend fun takeOver(offer: KeyHandoverOffer) = offer.claims.isEmpty()
     }
 
+    private object NoTargets : TargetClient {
+        override suspend fun call(call: TargetCall, tokens: TokenSink): CallResult =
+            error("the test sends no request")
+    }
+
     private val platform = FakePlatform()
+    private val client = HttpClient(CIO) { expectSuccess = false }
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
 
     @Test
@@ -61,18 +75,18 @@
                 withTimeout(60.seconds) { scenario() }
             } finally {
                 scope.cancel()
+                client.close()
             }
         }
     }
 
     private suspend fun scenario() {
-        val writer = ConfigurationWriter(platform)
         platform.hosts = listOf(ListedHost("t1", "asystent", "krakow-a", "127.0.0.1", 1, false))
         val first = start("h1", emptyList())
         val second = start("h2", listOf(first.settings.peer))
         await { second.network.state.membership.value.members.size == 2 }
         assertEquals("no peer and no platform has a configuration", reasonOf(first))
-        writer.write(change("one"))
+        assertEquals("""{"revision":1,"change":"one"}""", apply(first, "one"))
         await { first.ready && second.ready && targetsOf(second) == listOf("t1") }
 
         platform.down = true
@@ -85,11 +99,50 @@
         await { third.network.state.targets.value.targets.values.single().leaving }
 
         platform.down = false
-        writer.write(change("two"))
+        val watched = scope.async { get(third, "/v1/resources/watch?after=1") }
+        assertEquals("""{"revision":2,"change":"two"}""", apply(second, "two"))
         await { listOf(first, second, third).all { it.revision == Revision(2) } }
+        assertContains(watched.await(), "\"revision\":2")
+        resources(first, third)
         keys(first, second, third)
     }
 
+    /** The cases of the resource API that no other test reaches. */
+    private suspend fun resources(first: Host, third: Host) {
+        assertContains(apply(first, "late", expected = 1), "won, written by change two")
+        val invalid = """{"change":"x","dryRun":true,"resources":{"services":[
+            {"name":"A","type":"unknown"}]}}"""
+        assertContains(post(first, invalid), "type 'unknown' is not one of")
+        assertContains(apply(first, "dry", dryRun = true), "\"valid\":true")
+        assertContains(get(third, "/v1/resources/organisations/one"), "\"name\":\"one\"")
+        val deleted = client.delete("${url(first)}/v1/resources/organisations/one?change=gone")
+        assertEquals("""{"revision":3,"change":"gone"}""", deleted.bodyAsText())
+        await { third.revision == Revision(3) }
+        assertContains(get(third, "/v1/resources/organisations/one"), "unknown-resource")
+        await { "\"revision\":3" in status(third) && "h1" in status(third) }
+    }
+
+    private suspend fun status(host: Host): String = get(host, "/v1/status")
+
+    private suspend fun apply(
+        host: Host,
+        name: String,
+        expected: Long? = null,
+        dryRun: Boolean = false
+    ): String = post(
+        host,
+        """{"change":"$name","expectedRevision":$expected,"dryRun":$dryRun,
+            "resources":{"organisations":[{"name":"$name"}]}}"""
+    )
+
+    private suspend fun post(host: Host, body: String): String =
+        client.post("${url(host)}/v1/resources/apply") { setBody(body) }.bodyAsText()
+
+    private suspend fun get(host: Host, path: String): String =
+        client.get("${url(host)}$path").bodyAsText()
+
+    private fun url(host: Host): String = "http://${host.settings.http}"
+
     private suspend fun keys(first: Host, second: Host, third: Host) {
         second.network.keyRequests = Keys
         val request = RequestMessage("p", "o", 1000, "input")
@@ -125,24 +178,18 @@
         val settings = HostSettings(
             host = HostId(name),
             dataCentre = DataCentre("krakow-a"),
-            http = Endpoint("127.0.0.1", 0),
-            peer = Endpoint("127.0.0.1", ServerSocket(0).use { it.localPort }),
+            http = Endpoint("127.0.0.1", freePort()),
+            peer = Endpoint("127.0.0.1", freePort()),
             platform = Endpoint("127.0.0.1", 0),
             seeds = seeds
         )
-        val network =
-            PeerNetwork(settings, Incarnation("$name-process"), platform, SystemMonotonicClock)
-        val tree = supervisor(name) {
-            network.configuration(this)
-            network.membership(this)
-        }
-        return Host(network, settings, scope.launch { tree.run() })
+        val host = EntryHost(settings, platform, NoTargets)
+        return Host(host.network, settings, scope.launch { host.run() })
     }
 
-    private suspend fun await(condition: () -> Boolean) {
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+    private suspend fun await(condition: suspend () -> Boolean) {
         while (!condition()) delay(20)
     }
-
-    private fun change(identity: String) =
-        Change(identity, null) { it.with(Organisation(OrganisationName(identity))) }
 }
