Send Leaving before a host exits, and no news to a peer with an equal table

Cause: leave() returned before its message was sent; a fleet that starts at once sorted and sent news that its peers already had. Change: leave() sends on every open connection with a bound of 1 s each; news is left out when the last heartbeat of the peer announced the same table. Ruled out: a fixed delay after leave().

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
@@ -4,6 +4,7 @@
  */
 package org.sapphirelever.decisions.membership
 
+import java.util.PriorityQueue
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
@@ -52,7 +53,11 @@
 }
 
 /** Updates for one heartbeat. */
-public data class HeartbeatUpdates(public val members: PersistentList<Member>)
+public data class HeartbeatUpdates(public val members: PersistentList<Member>) {
+    public companion object {
+        public val NONE: HeartbeatUpdates = HeartbeatUpdates(persistentListOf())
+    }
+}
 
 public fun MembershipState.on(event: MembershipEvent): Decision<MembershipState, MembershipAction> =
     when (event) {
@@ -179,25 +184,36 @@
 }
 
 /**
- * Chooses the updates of one heartbeat: news with the most spreads left first, then, if the peer
- * announced a table that differs, a few members in turn.
+ * Chooses the updates of one heartbeat: news with the most spreads left first, then, if the table
+ * of the peer differs, a few members in turn. A peer whose last heartbeat announced the same
+ * table has all news. [tableDiffers] is null while the peer has not announced its table.
  */
 public fun MembershipState.composeUpdates(
-    tableDiffers: Boolean
+    tableDiffers: Boolean?
 ): Decision<MembershipState, HeartbeatUpdates> {
-    val news = members.values.filter { it.spreadsLeft > 0 }
-        .sortedWith(compareBy({ -it.spreadsLeft }, { it.member.id }))
-        .take(terms.updates)
+    val news = mostSpreadsLeft(terms.updates)
     val spread = news.fold(members) { table, entry ->
         table.put(entry.member.id, entry.copy(spreadsLeft = entry.spreadsLeft - 1))
     }
-    val room = if (tableDiffers) minOf(terms.repairs, terms.updates - news.size) else 0
+    val room = if (tableDiffers == true) minOf(terms.repairs, terms.updates - news.size) else 0
     val repairs = if (room > 0) nextForRepair(room) else emptyList()
     val state = copy(members = spread, repairCursor = repairs.lastOrNull()?.id ?: repairCursor)
+    if (tableDiffers == false) return Decision(state, persistentListOf(HeartbeatUpdates.NONE))
     val chosen = (news.map { it.member } + repairs).distinctBy { it.id }
     return Decision(state, persistentListOf(HeartbeatUpdates(chosen.toPersistentList())))
 }
 
+/** At most [count] entries, found in one pass since a large fleet that starts has much news. */
+private fun MembershipState.mostSpreadsLeft(count: Int): List<MemberEntry> {
+    val order = compareBy<MemberEntry>({ -it.spreadsLeft }, { it.member.id })
+    val chosen = PriorityQueue(count + 1, order.reversed())
+    members.values.filter { it.spreadsLeft > 0 }.forEach { entry ->
+        chosen.add(entry)
+        if (chosen.size > count) chosen.poll()
+    }
+    return chosen.sortedWith(order)
+}
+
 private fun MembershipState.nextForRepair(count: Int): List<Member> {
     val first = afterForRepair(repairCursor) ?: return emptyList()
     return generateSequence(first) { afterForRepair(it) }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerLinks.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerLinks.kt
@@ -10,6 +10,7 @@
 import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.coroutineScope
@@ -22,6 +23,7 @@
 import org.sapphirelever.core.Incarnation
 import org.sapphirelever.decisions.membership.MemberId
 import org.sapphirelever.decisions.supervision.RestartPolicy
+import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.keys.KeyHandoverOffer
 import org.sapphirelever.runtime.keys.KeyOwner
 import org.sapphirelever.runtime.keys.KeyRequests
@@ -32,9 +34,11 @@
 import org.sapphirelever.wire.peer.Hello
 import org.sapphirelever.wire.peer.KeyHandover
 import org.sapphirelever.wire.peer.KeyHandoverAccepted
+import org.sapphirelever.wire.peer.Leaving
 import org.sapphirelever.wire.peer.PeerMessage
 import org.sapphirelever.wire.peer.toEndpoint
 import org.sapphirelever.wire.peer.toMember
+import org.sapphirelever.wire.peer.toMessage
 
 /** A peer to link to; [expected] is null for a seed, whose process is not known yet. */
 public data class LinkKey(public val peer: Endpoint, public val expected: MemberId?)
@@ -46,6 +50,7 @@
     private val seeds: List<Endpoint>,
     private val keys: () -> KeyRequests?
 ) {
+    private val connections = StateCell(persistentSetOf<PeerConnection>())
     private val desired = MutableStateFlow<Set<LinkKey>>(emptySet())
 
     /** Completes once a peer has told its revision; a starting host waits for it. */
@@ -78,6 +83,22 @@
         }
     }
 
+    /** Sends `Leaving` on every connection; a peer that takes no data is not waited for. */
+    public suspend fun sayLeaving() {
+        val message = Leaving(protocol.own.toMessage())
+        supervisorScope {
+            connections.value.forEach { connection ->
+                launch {
+                    try {
+                        connection.send(message, LEAVING_LIMIT)
+                    } catch (failure: IOException) {
+                        logEvent("leaving-not-sent") { "failure" to failure }
+                    }
+                }
+            }
+        }
+    }
+
     private fun wanted(): Set<LinkKey> {
         val membership = protocol.state.membership.value
         if (!membership.own.isLive) return desired.value
@@ -120,12 +141,17 @@
 
     /** Runs one connection until it fails; the side that opened it sends the heartbeats. */
     private suspend fun converse(connection: PeerConnection, peer: MemberId, beats: Boolean) {
-        coroutineScope {
-            if (beats) launch { beat(connection, peer) }
-            launch {
-                protocol.news.drop(1).collect { connection.send(protocol.heartbeat(peer, 0)) }
+        connections.update { it.add(connection) }
+        try {
+            coroutineScope {
+                if (beats) launch { beat(connection, peer) }
+                launch {
+                    protocol.news.drop(1).collect { connection.send(protocol.heartbeat(peer, 0)) }
+                }
+                while (true) handle(connection, peer, connection.receive(SILENCE))
             }
-            while (true) handle(connection, peer, connection.receive(SILENCE))
+        } finally {
+            connections.update { it.remove(connection) }
         }
     }
 
@@ -162,6 +188,7 @@
     public companion object {
         /** A connection that brings nothing for three heartbeats is closed. */
         public val SILENCE: kotlin.time.Duration = 6.seconds
+        private val LEAVING_LIMIT = 1.seconds
         private val TICK = 500.milliseconds
 
         /** A peer may be down for long; its task tries again without end. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerNetwork.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerNetwork.kt
@@ -80,5 +80,6 @@
     public suspend fun leave(successor: Incarnation? = null) {
         reader.release()
         protocol.leave(successor)
+        links.sayLeaving()
     }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerProtocol.kt
@@ -151,7 +151,7 @@
 
     private fun gossip(to: MemberId): GossipMessage {
         val membership = state.membership.value
-        val differs = state.reports.value[to]?.let { it.tableHash != membership.tableHash } ?: false
+        val differs = state.reports.value[to]?.let { it.tableHash != membership.tableHash }
         val updates = state.membership.decide { it.composeUpdates(differs) }.single().members
         val now = state.clock.now()
         val health = state.targets.decide { it.composeHealth() }
