Build the serializer of peer messages once

Cause: a thread dump of the experiment showed the serializer of the sealed type being built for each message. Change: it is held in one value; candidates for news that cannot be chosen are skipped before the queue. Conclusion: tests of wire, decisions, runtime and load pass.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
@@ -208,7 +208,8 @@
     val order = compareBy<MemberEntry>({ -it.spreadsLeft }, { it.member.id })
     val chosen = PriorityQueue(count + 1, order.reversed())
     members.values.filter { it.spreadsLeft > 0 }.forEach { entry ->
-        chosen.add(entry)
+        val least = if (chosen.size < count) 0 else chosen.peek().spreadsLeft
+        if (entry.spreadsLeft >= least) chosen.add(entry)
         if (chosen.size > count) chosen.poll()
     }
     return chosen.sortedWith(order)
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerCodec.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerCodec.kt
@@ -21,16 +21,19 @@
         useDefiniteLengthEncoding = true
     }
 
+/** Held once, since the serializer of a sealed type is built again on each request for it. */
+private val messageSerializer = PeerMessage.serializer()
+
 /** Body of the frame of [message]. */
 public fun encodePeerMessage(message: PeerMessage): ByteArray {
-    val body = PeerCbor.encodeToByteArray(PeerMessage.serializer(), message)
+    val body = PeerCbor.encodeToByteArray(messageSerializer, message)
     requireFrameSize(body.size)
     return body
 }
 
 /** The message in [body]; a [SerializationException] says that it is not one. */
 public fun decodePeerMessage(body: ByteArray): PeerMessage =
-    PeerCbor.decodeFromByteArray(PeerMessage.serializer(), body)
+    PeerCbor.decodeFromByteArray(messageSerializer, body)
 
 /** Refuses a frame of [size] bytes that is empty or larger than the bound. */
 public fun requireFrameSize(size: Int) {
