Merge membership, peer links and the configuration in force

Cause: the request path read the platform on every host and could not reach the owner of a foreign key. Change: the entry host runs on the elected reader and the peer links; keys are forwarded and handed over, crash marks ride on heartbeats. Ruled out: a capacity lease asked for by every host; two candidates ask.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -1,12 +1,13 @@
 /*
- * The entry host: one supervisor tree over the configuration feed, the target list and the HTTP
- * front end.
+ * The entry host: one supervisor tree over the configuration, the links to other hosts, the
+ * capacity controller and the HTTP front end.
  */
 package org.sapphirelever.runtime.host
 
 import java.util.UUID
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.minutes
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -16,7 +17,7 @@
 import org.sapphirelever.core.SystemMonotonicClock
 import org.sapphirelever.decisions.admission.AdmissionState
 import org.sapphirelever.decisions.admission.DispatchRules
-import org.sapphirelever.decisions.configuration.ConfigurationState
+import org.sapphirelever.decisions.membership.readerCandidates
 import org.sapphirelever.decisions.routing.ExpectedCompletionPolicy
 import org.sapphirelever.decisions.routing.RoutingState
 import org.sapphirelever.decisions.routing.TargetPolicy
@@ -24,22 +25,23 @@
 import org.sapphirelever.decisions.supervision.Strategy
 import org.sapphirelever.platform.Platform
 import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.capacity.CapacityController
+import org.sapphirelever.runtime.capacity.CapacitySettings
+import org.sapphirelever.runtime.capacity.HttpEngineOrders
+import org.sapphirelever.runtime.capacity.engineGroups
 import org.sapphirelever.runtime.dispatch.QueueingDispatcher
-import org.sapphirelever.runtime.feed.ConfigurationFeed
 import org.sapphirelever.runtime.feed.ConfigurationWriter
-import org.sapphirelever.runtime.feed.TargetListFeed
 import org.sapphirelever.runtime.http.HttpFrontEnd
 import org.sapphirelever.runtime.http.Routes
 import org.sapphirelever.runtime.http.healthRoutes
-import org.sapphirelever.runtime.keys.KeyForwarder
 import org.sapphirelever.runtime.keys.KeyOwner
 import org.sapphirelever.runtime.keys.KeyedRequests
-import org.sapphirelever.runtime.keys.NoKeyForwarder
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.metrics.BurnRecorder
 import org.sapphirelever.runtime.metrics.PrometheusMetrics
 import org.sapphirelever.runtime.metrics.RequestMetricsFanOut
+import org.sapphirelever.runtime.peer.PeerNetwork
 import org.sapphirelever.runtime.request.ConfiguredRunner
 import org.sapphirelever.runtime.request.Explanations
 import org.sapphirelever.runtime.request.RepetitionState
@@ -57,35 +59,58 @@
     private val platform: Platform,
     client: TargetClient,
     policy: TargetPolicy = ExpectedCompletionPolicy(),
-    clock: MonotonicClock = SystemMonotonicClock,
+    private val clock: MonotonicClock = SystemMonotonicClock,
     random: Random = Random(settings.randomSeed),
-    stopSteps: List<StopStep> = emptyList(),
-    forwarder: KeyForwarder = NoKeyForwarder
+    stopSteps: List<StopStep> = emptyList()
 ) {
     public val incarnation: Incarnation = Incarnation(UUID.randomUUID().toString())
 
-    private val configuration = StateCell(ConfigurationState())
     private val routing =
         StateCell(RoutingState(host = settings.host, dataCentre = settings.dataCentre))
-    private val admission = StateCell(AdmissionState())
-    private val dispatcher =
-        QueueingDispatcher(routing, admission, DispatchRules(policy), clock, random) {
-            configuration.value.inForce.organisations[it]
-        }
 
     /** Retry budget, latencies and crash marks; the links to other hosts exchange the marks. */
     public val repetition: RepetitionState = RepetitionState()
+
+    /** Links to other entry hosts, and the configuration in force. */
+    public val network: PeerNetwork =
+        PeerNetwork(settings, incarnation, platform, clock, CrashMarks(repetition, clock)) {
+            targets ->
+            routing.update { it.copy(targets = targets.toPersistentMap()) }
+        }
+    private val configuration = network.state.configuration
+    private val dispatcher =
+        QueueingDispatcher(
+            routing,
+            StateCell(AdmissionState()),
+            DispatchRules(policy),
+            clock,
+            random
+        ) { configuration.value.inForce.organisations[it] }
     private val executor = RequestExecutor(dispatcher, client, clock, repetition)
-    private val shutdown =
-        GracefulShutdown(settings.balancerDelay, settings.drainLimit, clock, stopSteps)
     private val burn = BurnRecorder(settings.host, settings.objective, clock)
+    private val explanations = Explanations()
+    private val capacity =
+        CapacitySettings(
+            dataCentre = settings.dataCentre,
+            holder = incarnation.value,
+            groups = { engineGroups(settings.dataCentre, configuration.value, routing.value) },
+            contends = { isReaderCandidate() }
+        )
+    private val controller = HttpEngineOrders().let { orders ->
+        CapacityController(capacity, platform, orders, clock)
+    }
+    private val shutdown: GracefulShutdown =
+        GracefulShutdown(
+            settings.balancerDelay,
+            settings.drainLimit,
+            clock,
+            stopSteps + departureSteps()
+        )
     private val metrics =
         PrometheusMetrics(
             revision = { configuration.value.inForce.revision.value },
             outstanding = { shutdown.outstanding }
         )
-    private val recorders = RequestMetricsFanOut(listOf(metrics, burn))
-    private val explanations = Explanations()
     private val runner =
         ConfiguredRunner(
             settings.host,
@@ -93,7 +118,7 @@
             executor,
             explanations,
             clock,
-            recorders
+            RequestMetricsFanOut(listOf(metrics, burn))
         )
 
     /** Requests with keys; the links to other hosts and a planned stop call it. */
@@ -101,14 +126,18 @@
         KeyedRequests(
             settings.host,
             KeyOwner(incarnation, settings.peer),
-            forwarder,
+            network.keys,
             runner,
             clock,
             random
         )
     private val requests = RequestRoutes(settings.bodyLimit, runner, keyed, explanations)
     private val resources =
-        ResourceRoutes(settings.bodyLimit, configuration, ConfigurationWriter(platform))
+        ResourceRoutes(settings.bodyLimit, network.protocol, ConfigurationWriter(platform))
+
+    init {
+        network.keyRequests = keyed
+    }
 
     /** Starts the graceful shutdown; a second call ends the host at once. */
     public fun signal() {
@@ -143,11 +172,16 @@
 
     private fun tree(): Supervisor = supervisor("entry-host", ROOT_POLICY) {
         supervisor("configuration", RestartPolicy(Strategy.ONE_FOR_ONE)) {
-            child("document") { ConfigurationFeed(platform, configuration).run() }
+            network.configuration(this)
             child("burn-decisions") {
                 burn.follow("configuration revision") { configuration.value.inForce.revision }
             }
-            child("target-list") { TargetListFeed(platform, routing).run() }
+        }
+        supervisor("membership", RestartPolicy(Strategy.ONE_FOR_ONE)) {
+            network.membership(this)
+        }
+        supervisor("capacity", RestartPolicy(Strategy.ONE_FOR_ONE)) {
+            child("controller") { controller.run() }
         }
         supervisor("front-end", RestartPolicy(Strategy.ONE_FOR_ONE)) {
             child("http") { HttpFrontEnd(settings.http, routes()).run() }
@@ -163,6 +197,22 @@
         burn.routes
     )
 
+    /** Two hosts of each data centre ask for its leases, so that the calls do not grow with it. */
+    private fun isReaderCandidate(): Boolean {
+        val members = network.state.membership.value
+        return members.own.id in members.readerCandidates(settings.dataCentre)
+    }
+
+    /** Steps of a planned stop, after the last request has ended. */
+    private fun departureSteps(): List<StopStep> {
+        val departure = Departure(settings.dataCentre, network) { keyed }
+        return listOf(
+            stopStep("hand-over-keys") { departure.handOverKeys() },
+            stopStep("release-capacity-lease") { controller.release() },
+            stopStep("leave") { departure.leave() }
+        )
+    }
+
     internal companion object {
         /**
          * A part of the host that always fails gives up after 26 s with the default policy. The
--- /dev/null
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMessage.kt
@@ -0,0 +1,198 @@
+/*
+ * Messages between entry hosts. Fields of frequent messages carry numeric labels, which keeps a
+ * heartbeat small.
+ */
+package org.sapphirelever.wire.peer
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+import org.sapphirelever.wire.ConfigurationMessage
+import org.sapphirelever.wire.KeyClaimMessage
+import org.sapphirelever.wire.OutcomeMessage
+import org.sapphirelever.wire.RequestMessage
+
+/** Labels of fields, in the order in which a message declares them. */
+internal object FieldLabel {
+    const val FIRST = 1L
+    const val SECOND = 2L
+    const val THIRD = 3L
+    const val FOURTH = 4L
+    const val FIFTH = 5L
+    const val SIXTH = 6L
+    const val SEVENTH = 7L
+    const val EIGHTH = 8L
+    const val NINTH = 9L
+}
+
+/** A message on a connection between two entry hosts. */
+@Serializable
+public sealed interface PeerMessage
+
+@Serializable
+public data class EndpointMessage(
+    @CborLabel(FieldLabel.FIRST) public val address: String,
+    @CborLabel(FieldLabel.SECOND) public val port: Int
+)
+
+@Serializable
+public data class MemberMessage(
+    @CborLabel(FieldLabel.FIRST) public val incarnation: String,
+    @CborLabel(FieldLabel.SECOND) public val generation: Int = 0,
+    @CborLabel(FieldLabel.THIRD) public val host: String,
+    @CborLabel(FieldLabel.FOURTH) public val dataCentre: String,
+    @CborLabel(FieldLabel.FIFTH) public val peer: EndpointMessage,
+    @CborLabel(FieldLabel.SIXTH) public val http: EndpointMessage,
+    @CborLabel(FieldLabel.SEVENTH) public val version: Int = 0,
+    @CborLabel(FieldLabel.EIGHTH) public val status: Int = 0,
+    @CborLabel(FieldLabel.NINTH) public val successor: String? = null
+)
+
+/** A report that a target is leaving or dead; [ageMillis] is the time since it was observed. */
+@Serializable
+public data class TargetHealthMessage(
+    @CborLabel(FieldLabel.FIRST) public val target: String,
+    @CborLabel(FieldLabel.SECOND) public val dead: Boolean = false,
+    @CborLabel(FieldLabel.THIRD) public val ageMillis: Long = 0
+)
+
+/** A mark that a request preceded the crash of a target. */
+@Serializable
+public data class CrashMarkMessage(
+    @CborLabel(FieldLabel.FIRST) public val fingerprint: String,
+    @CborLabel(FieldLabel.SECOND) public val target: String,
+    @CborLabel(FieldLabel.THIRD) public val ageMillis: Long = 0
+)
+
+/** Position of a target list: the fencing number of its reader, then a count. */
+@Serializable
+public data class TargetVersionMessage(
+    @CborLabel(FieldLabel.FIRST) public val fencing: Long = 0,
+    @CborLabel(FieldLabel.SECOND) public val number: Long = 0
+)
+
+/**
+ * What a heartbeat and its reply carry.
+ *
+ * @property revision revision in force at the sender
+ * @property announced greatest revision that the sender knows to exist
+ * @property tableHash hash of the sender's member table
+ */
+@Serializable
+public data class GossipMessage(
+    @CborLabel(FieldLabel.FIRST) public val revision: Long = 0,
+    @CborLabel(FieldLabel.SECOND) public val announced: Long = 0,
+    @CborLabel(FieldLabel.THIRD) public val ready: Boolean = false,
+    @CborLabel(FieldLabel.FOURTH) public val tableHash: Long = 0,
+    @CborLabel(FieldLabel.FIFTH) public val targets: TargetVersionMessage = TargetVersionMessage(),
+    @CborLabel(FieldLabel.SIXTH) public val members: List<MemberMessage> = emptyList(),
+    @CborLabel(FieldLabel.SEVENTH) public val marks: List<CrashMarkMessage> = emptyList(),
+    @CborLabel(FieldLabel.EIGHTH) public val health: List<TargetHealthMessage> = emptyList()
+)
+
+/** First message in each direction. [expected] names the process that the sender wants. */
+@Serializable
+@SerialName("hello")
+public data class Hello(
+    @CborLabel(FieldLabel.FIRST) public val member: MemberMessage,
+    @CborLabel(FieldLabel.SECOND) public val knownMembers: Int = 1,
+    @CborLabel(FieldLabel.THIRD) public val expected: String = ""
+) : PeerMessage
+
+@Serializable
+@SerialName("beat")
+public data class Heartbeat(
+    @CborLabel(FieldLabel.FIRST) public val sequence: Long,
+    @CborLabel(FieldLabel.SECOND) public val gossip: GossipMessage
+) : PeerMessage
+
+@Serializable
+@SerialName("reply")
+public data class HeartbeatReply(
+    @CborLabel(FieldLabel.FIRST) public val sequence: Long,
+    @CborLabel(FieldLabel.SECOND) public val gossip: GossipMessage
+) : PeerMessage
+
+/** The whole member table, for a host that knows only itself. */
+@Serializable
+@SerialName("members")
+public data class MemberTable(public val members: List<MemberMessage>) : PeerMessage
+
+/** Asks for a configuration above [have] and a target list above [targets]. */
+@Serializable
+@SerialName("want")
+public data class ConfigurationRequest(
+    @CborLabel(FieldLabel.FIRST) public val have: Long,
+    @CborLabel(FieldLabel.SECOND) public val targets: TargetVersionMessage = TargetVersionMessage()
+) : PeerMessage
+
+/**
+ * Difference between two revisions. [changed] holds the later revision, the resources that were
+ * added or changed since [from], and the changes accepted since then.
+ */
+@Serializable
+@SerialName("delta")
+public data class ConfigurationDelta(
+    public val from: Long,
+    public val changed: ConfigurationMessage,
+    public val removed: List<RemovedMessage> = emptyList()
+) : PeerMessage
+
+@Serializable
+public data class RemovedMessage(public val kind: String, public val name: String)
+
+@Serializable
+@SerialName("snapshot")
+public data class ConfigurationSnapshot(public val configuration: ConfigurationMessage) :
+    PeerMessage
+
+@Serializable
+public data class TargetMessage(
+    @CborLabel(FieldLabel.FIRST) public val id: String,
+    @CborLabel(FieldLabel.SECOND) public val service: String,
+    @CborLabel(FieldLabel.THIRD) public val dataCentre: String,
+    @CborLabel(FieldLabel.FOURTH) public val endpoint: EndpointMessage,
+    @CborLabel(FieldLabel.FIFTH) public val leaving: Boolean = false
+)
+
+@Serializable
+@SerialName("targets")
+public data class TargetList(
+    @CborLabel(FieldLabel.FIRST) public val dataCentre: String,
+    @CborLabel(FieldLabel.SECOND) public val version: TargetVersionMessage,
+    @CborLabel(FieldLabel.THIRD) public val targets: List<TargetMessage>
+) : PeerMessage
+
+@Serializable
+@SerialName("forward")
+public data class ForwardRequest(
+    public val number: Long,
+    public val owner: String,
+    public val request: RequestMessage
+) : PeerMessage
+
+/** Answer to a forwarded request; a null [outcome] says that the owner is not this process. */
+@Serializable
+@SerialName("outcome")
+public data class ForwardedOutcome(
+    public val number: Long,
+    public val outcome: OutcomeMessage? = null
+) : PeerMessage
+
+@Serializable
+@SerialName("handover")
+public data class KeyHandover(
+    public val incarnation: String,
+    public val peer: EndpointMessage,
+    public val claims: List<KeyClaimMessage>
+) : PeerMessage
+
+@Serializable
+@SerialName("accepted")
+public data class KeyHandoverAccepted(public val accepted: Boolean) : PeerMessage
+
+/** The sender stops as planned. */
+@Serializable
+@SerialName("leaving")
+public data class Leaving(@CborLabel(FieldLabel.FIRST) public val member: MemberMessage) :
+    PeerMessage
