--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
@@ -34,8 +34,12 @@
     public fun Routing.install()
 }
 
-/** Serves [routes] at [endpoint] until it is cancelled. */
-public class HttpFrontEnd(private val endpoint: Endpoint, private val routes: List<Routes>) {
+/** Serves [routes] at [endpoint] until it is cancelled; tells [onBound] the address it got. */
+public class HttpFrontEnd(
+    private val endpoint: Endpoint,
+    private val routes: List<Routes>,
+    private val onBound: (Endpoint) -> Unit = {}
+) {
     public suspend fun run() {
         val server: EmbeddedServer<*, *> =
             embeddedServer(CIO, port = endpoint.port, host = endpoint.address) {
@@ -43,6 +47,7 @@
             }
         server.startSuspend(wait = false)
         try {
+            onBound(endpoint.copy(port = server.engine.resolvedConnectors().first().port))
             awaitCancellation()
         } finally {
             server.stop(GRACE_MILLIS, STOP_LIMIT_MILLIS)
--- a/standins/src/main/kotlin/org/sapphirelever/standins/PlatformStandIn.kt
+++ b/standins/src/main/kotlin/org/sapphirelever/standins/PlatformStandIn.kt
@@ -1,118 +1,246 @@
 /*
- * Stand-in for the platform: key-value service with compare-and-swap, leases and watches, and the
- * host list.
+ * Stand-in for the platform over HTTP: key-value service with compare-and-swap, leases and watches,
+ * weight store and host list, with faults and counts of calls.
  */
 package org.sapphirelever.standins
 
 import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.delete
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
+import kotlin.time.Duration.Companion.minutes
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.encodeToString
 import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.SystemMonotonicClock
+import org.sapphirelever.decisions.Decision
 import org.sapphirelever.platform.HostListMessage
+import org.sapphirelever.platform.LeaseRequestMessage
 import org.sapphirelever.platform.ListedHostMessage
 import org.sapphirelever.platform.PlatformJson
 import org.sapphirelever.platform.RevisionMessage
 import org.sapphirelever.platform.ValueMessage
-import org.sapphirelever.runtime.http.HttpFrontEnd
+import org.sapphirelever.platform.WeightMessage
 import org.sapphirelever.runtime.http.Routes
 import org.sapphirelever.runtime.http.answer
 import org.sapphirelever.runtime.http.readText
 import org.sapphirelever.runtime.http.respondJson
 
-/** Values and host list of the stand-in. */
-private data class PlatformState(
-    val values: PersistentMap<String, ValueMessage> = persistentMapOf(),
-    val hosts: PersistentList<ListedHostMessage> = persistentListOf()
-)
+private typealias LeaseTransition =
+    PlatformState.(String, LeaseRequestMessage, MonotonicTime) ->
+    Decision<PlatformState, PlatformReply>
 
 /** Serves the platform's protocol at [endpoint]. */
-public class PlatformStandIn(private val endpoint: Endpoint) {
-    private val state = MutableStateFlow(PlatformState())
+public class PlatformStandIn(
+    endpoint: Endpoint,
+    limits: PlatformLimits = PlatformLimits(),
+    faults: PlatformFaults = PlatformFaults(),
+    private val clock: MonotonicClock = SystemMonotonicClock
+) : StandIn {
+    private val state = MutableStateFlow(PlatformState(limits, faults))
+    private val server =
+        StandInServer(
+            endpoint,
+            listOf(
+                Routes { valueRoutes() },
+                Routes { leaseRoutes() },
+                Routes { listRoutes() },
+                Routes { adminRoutes() }
+            )
+        )
 
-    public suspend fun run() {
-        HttpFrontEnd(endpoint, listOf(valueRoutes(), hostRoutes())).run()
+    override suspend fun run() {
+        server.run()
     }
 
-    private fun valueRoutes(): Routes = Routes {
+    override suspend fun boundEndpoint(): Endpoint = server.boundEndpoint()
+
+    /** Replaces the faults in force. */
+    public fun setFaults(faults: PlatformFaults) {
+        state.update { it.copy(faults = faults) }
+    }
+
+    public fun counts(): CallCounts = with(state.value) {
+        CallCounts(counts.mapKeys { it.key.text }, refused, waitingWatches)
+    }
+
+    /** Adds [host] to the host list, or replaces the entry of the same name. */
+    public fun putHost(host: ListedHostMessage) {
+        val now = clock.now()
+        state.update { before ->
+            before.withHosts(now) { hosts -> hosts.removeAll { it.id == host.id }.add(host) }
+        }
+    }
+
+    public fun removeHost(id: String) {
+        val now = clock.now()
+        state.update { before ->
+            before.withHosts(now) { hosts -> hosts.removeAll { it.id == id } }
+        }
+    }
+
+    private fun Routing.valueRoutes() {
         get("/v1/values/{key...}") {
-            answer(call) {
-                val path = call.parameters.getAll("key").orEmpty()
-                if (path.lastOrNull() == "watch") {
-                    val key = path.dropLast(1).joinToString("/")
-                    val after = call.parameters["after"]?.toLong() ?: 0
-                    val wait = (call.parameters["waitMillis"]?.toLong() ?: 0).milliseconds
-                    val value =
-                        withTimeoutOrNull(wait) {
-                            state.first { current(it, key).revision > after }
-                        } ?: state.value
-                    call.respondJson(PlatformJson.encodeToString(current(value, key)))
-                } else {
-                    val value = current(state.value, path.joinToString("/"))
-                    call.respondJson(PlatformJson.encodeToString(value))
+            val path = call.parameters.getAll("key").orEmpty()
+            if (path.lastOrNull() == "watch") {
+                val key = path.dropLast(1).joinToString("/")
+                serve(call, PlatformCall.WATCH) { call.respondValue(awaitChange(call, key)) }
+            } else {
+                serve(call, PlatformCall.READ) {
+                    call.respondValue(state.value.value(path.joinToString("/")))
                 }
             }
         }
         put("/v1/values/{key...}") {
-            answer(call) {
+            serve(call, PlatformCall.WRITE) {
                 val key = call.parameters.getAll("key").orEmpty().joinToString("/")
                 val expected = call.parameters["expected"]?.toLong() ?: 0
-                val written = write(key, expected, call.readText(VALUE_LIMIT))
-                val status = if (written) HttpStatusCode.OK else HttpStatusCode.Conflict
-                val revision = RevisionMessage(current(state.value, key).revision)
-                call.respondJson(PlatformJson.encodeToString(revision), status)
+                val text = call.readText(VALUE_LIMIT)
+                call.respondReply(state.decide { it.onWrite(key, expected, text) }.single())
             }
         }
     }
 
-    private fun hostRoutes(): Routes = Routes {
+    private suspend fun awaitChange(call: ApplicationCall, key: String): ValueMessage {
+        val after = call.parameters["after"]?.toLong() ?: 0
+        val wait = (call.parameters["waitMillis"]?.toLong() ?: 0).milliseconds
+        state.update { it.copy(waitingWatches = it.waitingWatches + 1) }
+        try {
+            val changed =
+                withTimeoutOrNull(wait) { state.first { it.value(key).revision > after } }
+            return (changed ?: state.value).value(key)
+        } finally {
+            state.update { it.copy(waitingWatches = it.waitingWatches - 1) }
+        }
+    }
+
+    private fun Routing.leaseRoutes() {
+        post(LEASE_PATH) {
+            changeLease(call) { name, request, now -> onAcquire(name, request, now) }
+        }
+        put(LEASE_PATH) { changeLease(call) { name, request, now -> onRenew(name, request, now) } }
+        delete(LEASE_PATH) {
+            changeLease(call) { name, request, now -> onRelease(name, request, now) }
+        }
+    }
+
+    private suspend fun changeLease(call: ApplicationCall, transition: LeaseTransition) {
+        serve(call, PlatformCall.LEASE) {
+            val name = call.parameters.getAll("name").orEmpty().joinToString("/")
+            val request =
+                PlatformJson.decodeFromString<LeaseRequestMessage>(call.readText(VALUE_LIMIT))
+            val now = clock.now()
+            call.respondReply(state.decide { it.transition(name, request, now) }.single())
+        }
+    }
+
+    private fun Routing.listRoutes() {
         get("/v1/hosts") {
-            answer(call) {
-                val hosts = HostListMessage(state.value.hosts)
+            serve(call, PlatformCall.HOSTS) {
+                val hosts = HostListMessage(state.value.visibleHosts(clock.now()))
                 call.respondJson(PlatformJson.encodeToString(hosts))
             }
         }
+        get("/v1/weights/{model}") {
+            serve(call, PlatformCall.WEIGHTS) {
+                val weights = WeightMessage(call.parameters["model"].orEmpty(), WEIGHT_BYTES)
+                call.respondJson(PlatformJson.encodeToString(weights))
+            }
+        }
+    }
+
+    private fun Routing.adminRoutes() {
+        post("/admin/faults") {
+            answer(call) {
+                setFaults(PlatformJson.decodeFromString(call.readText(VALUE_LIMIT)))
+                call.respondJson("{}")
+            }
+        }
+        get("/admin/calls") {
+            answer(call) { call.respondJson(PlatformJson.encodeToString(counts())) }
+        }
         post("/admin/hosts") {
             answer(call) {
-                val host =
-                    PlatformJson.decodeFromString<ListedHostMessage>(call.readText(VALUE_LIMIT))
-                state.update { current ->
-                    current.copy(
-                        hosts = current.hosts.removeAll { it.id == host.id }.add(host)
-                    )
-                }
+                putHost(PlatformJson.decodeFromString(call.readText(VALUE_LIMIT)))
+                call.respondJson("{}")
+            }
+        }
+        delete("/admin/hosts/{id}") {
+            answer(call) {
+                removeHost(call.parameters["id"].orEmpty())
                 call.respondJson("{}")
             }
         }
     }
 
-    private fun current(state: PlatformState, key: String): ValueMessage =
-        state.values[key] ?: ValueMessage("", 0)
+    /** Counts the call, applies faults and limits, and then handles it. */
+    private suspend fun serve(
+        call: ApplicationCall,
+        kind: PlatformCall,
+        handle: suspend () -> Unit
+    ) {
+        answer(call) {
+            val now = clock.now()
+            val reply = state.decide { it.onCall(kind, now) }.single()
+            val faults = state.value.faults
+            delay(faults.slowMillis)
+            when {
+                faults.silent -> delay(SILENCE)
 
-    private fun write(key: String, expected: Long, value: String): Boolean {
-        var written = false
-        state.update { before ->
-            written = current(before, key).revision == expected
-            if (written) {
-                before.copy(values = before.values.put(key, ValueMessage(value, expected + 1)))
-            } else {
-                before
+                faults.outage -> call.respondJson("{}", HttpStatusCode.ServiceUnavailable)
+
+                reply == PlatformReply.Throttled ->
+                    call.respondJson("{}", HttpStatusCode.TooManyRequests)
+
+                else -> handle()
+            }
+        }
+    }
+
+    private suspend fun ApplicationCall.respondReply(reply: PlatformReply) {
+        if (state.decide { it.onReply() }.single() == PlatformReply.LoseReply) {
+            delay(SILENCE)
+            return
+        }
+        when (reply) {
+            is PlatformReply.Written ->
+                respondJson(PlatformJson.encodeToString(RevisionMessage(reply.revision)))
+
+            is PlatformReply.Conflict -> {
+                val message = RevisionMessage(reply.revision)
+                respondJson(PlatformJson.encodeToString(message), HttpStatusCode.Conflict)
             }
+
+            is PlatformReply.LeaseHeld ->
+                respondJson(PlatformJson.encodeToString(reply.lease))
+
+            is PlatformReply.LeaseRefused ->
+                respondJson(PlatformJson.encodeToString(reply.lease), HttpStatusCode.Conflict)
+
+            else -> error("not a reply to a write: $reply")
         }
-        return written
+    }
+
+    private suspend fun ApplicationCall.respondValue(value: ValueMessage) {
+        respondJson(PlatformJson.encodeToString(value))
     }
 
     private companion object {
         const val VALUE_LIMIT = 1_048_576
+        const val WEIGHT_BYTES = 1_000_000L
+        const val LEASE_PATH = "/v1/leases/{name...}"
+
+        /** A call without a reply holds its connection longer than any client waits. */
+        val SILENCE = 2.minutes
     }
 }
