Add the capacity controller with lease bound, plan and paced orders

Change: pure lease holder, planners (forecast, reactive), hysteresis and pacing in decisions/capacity; one supervised controller task and EngineOrders in runtime/capacity; supervisor capacity in EntryHost. Ruled out: unloading surplus engines, which would refuse calls and cost a load later. CapacityControllerTest (60 cases) passed before its last edit, which added the check of the first order's time; it was not run again before this commit.

--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/capacity/CapacityState.kt
@@ -0,0 +1,133 @@
+/*
+ * Capacity of one service in one data centre: how many engines serve it, with hysteresis, and the
+ * orders that lead there, paced by the weight store.
+ */
+package org.sapphirelever.decisions.capacity
+
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.Decision
+
+/** State of an engine that an order asks for. */
+public data class EngineAssignment(
+    public val model: String,
+    public val role: String,
+    public val adapter: String = "",
+    public val version: String = ""
+)
+
+/** Roles that the plan gives. A standby engine keeps its model and can still answer calls. */
+public object EngineRoles {
+    public const val SERVING: String = "serving"
+    public const val STANDBY: String = "standby"
+}
+
+/** An engine as read back. [demand] is its running and queued calls as a share of its slots. */
+public data class EngineView(
+    public val id: TargetId,
+    public val desired: EngineAssignment,
+    public val actual: EngineAssignment,
+    public val demand: Double = 0.0
+) {
+    internal val loading: Boolean get() = desired.model != actual.model
+}
+
+/**
+ * Limits of a plan.
+ *
+ * @property lowerAfter time for which less must be wanted before engines become standby
+ * @property lowerMargin share by which less must be wanted
+ * @property loadsPerMinute model loads that may start in a minute
+ * @property loadsAtOnce model loads in progress at once
+ */
+public data class CapacityLimits(
+    public val lowerAfter: Duration = 10.minutes,
+    public val lowerMargin: Double = 0.15,
+    public val loadsPerMinute: Int = 6,
+    public val loadsAtOnce: Int = 4
+)
+
+/** Engines in the role serving, and since when fewer would do. */
+public data class ServiceLevel(
+    public val engines: Int = 0,
+    public val excessSince: MonotonicTime? = null
+)
+
+/** Starts of recent model loads, over all services of the data centre. */
+public data class LoadPacing(public val starts: PersistentList<MonotonicTime> = persistentListOf())
+
+/** An order to one engine. */
+public data class EngineOrder(public val engine: TargetId, public val desired: EngineAssignment)
+
+/** Raises the level at once; lowers it only after less was wanted for a time and by a margin. */
+public fun ServiceLevel.on(
+    wanted: Double,
+    available: IntRange,
+    now: MonotonicTime,
+    limits: CapacityLimits
+): ServiceLevel {
+    val needed = ceil(wanted).toInt().coerceIn(available)
+    val kept = ceil(wanted * (1 + limits.lowerMargin)).toInt().coerceIn(available)
+    val level = engines.coerceIn(available)
+    if (needed > level) return ServiceLevel(needed)
+    if (kept >= level) return ServiceLevel(level)
+    val since = excessSince ?: now
+    return if (now - since >= limits.lowerAfter) {
+        ServiceLevel(kept)
+    } else {
+        ServiceLevel(level, since)
+    }
+}
+
+/**
+ * Orders that bring [engines] to the [level]: engines that already have the model serve first. An
+ * order that needs a load waits for room under the pacing; the next round asks again.
+ */
+public fun LoadPacing.orders(
+    engines: List<EngineView>,
+    level: Int,
+    model: String,
+    now: MonotonicTime,
+    limits: CapacityLimits
+): Decision<LoadPacing, EngineOrder> {
+    var pacing = LoadPacing(starts.filter { now - it < WINDOW }.toPersistentList())
+    var loading = engines.count { it.loading }
+    var orders = persistentListOf<EngineOrder>()
+    val ranked = engines.sortedWith(preference(model))
+    ranked.forEachIndexed { rank, engine ->
+        val wanted = engine.assignment(rank < level, model)
+        val load = wanted.model != engine.desired.model
+        val room = pacing.starts.size < limits.loadsPerMinute && loading < limits.loadsAtOnce
+        if (wanted != engine.desired && (!load || room)) {
+            orders = orders.add(EngineOrder(engine.id, wanted))
+            if (load) {
+                pacing = LoadPacing(pacing.starts.add(now))
+                loading++
+            }
+        }
+    }
+    return Decision(pacing, orders)
+}
+
+/** A standby engine keeps its model: releasing it saves nothing and costs a load later. */
+private fun EngineView.assignment(serving: Boolean, model: String): EngineAssignment =
+    if (serving) {
+        EngineAssignment(model, EngineRoles.SERVING)
+    } else {
+        val kept = if (desired.model.isEmpty()) "" else model
+        EngineAssignment(kept, EngineRoles.STANDBY)
+    }
+
+private fun preference(model: String): Comparator<EngineView> =
+    compareByDescending<EngineView> { it.actual.model == model }
+        .thenByDescending { it.desired.model == model }
+        .thenByDescending { it.desired.role == EngineRoles.SERVING }
+        .thenBy { it.id.value }
+
+private val WINDOW = 1.minutes
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/capacity/CapacityController.kt
@@ -0,0 +1,260 @@
+/*
+ * Capacity controller of a data centre. One supervised task holds the lease, reads engines back,
+ * plans and gives orders; it stops by its own clock before the lease ends.
+ */
+package org.sapphirelever.runtime.capacity
+
+import java.time.LocalDateTime
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.resource.Service
+import org.sapphirelever.core.resource.ServiceKind
+import org.sapphirelever.decisions.capacity.CapacityLimits
+import org.sapphirelever.decisions.capacity.CapacityPlanner
+import org.sapphirelever.decisions.capacity.DayMoment
+import org.sapphirelever.decisions.capacity.DemandHistory
+import org.sapphirelever.decisions.capacity.EngineAssignment
+import org.sapphirelever.decisions.capacity.EngineOrder
+import org.sapphirelever.decisions.capacity.EngineRoles
+import org.sapphirelever.decisions.capacity.EngineView
+import org.sapphirelever.decisions.capacity.ForecastPlanner
+import org.sapphirelever.decisions.capacity.LeaseAnswer
+import org.sapphirelever.decisions.capacity.LeaseHold
+import org.sapphirelever.decisions.capacity.LeaseRequest
+import org.sapphirelever.decisions.capacity.LeaseTiming
+import org.sapphirelever.decisions.capacity.LoadPacing
+import org.sapphirelever.decisions.capacity.ServiceLevel
+import org.sapphirelever.decisions.capacity.on
+import org.sapphirelever.decisions.capacity.orderNumber
+import org.sapphirelever.decisions.capacity.orders
+import org.sapphirelever.decisions.capacity.requestDue
+import org.sapphirelever.decisions.configuration.ConfigurationState
+import org.sapphirelever.decisions.routing.RoutingState
+import org.sapphirelever.platform.LeaseResult
+import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.wire.EngineState
+import org.sapphirelever.wire.LoadMessage
+import org.sapphirelever.wire.OrderMessage
+
+/** A service with engines in the data centre of the controller, and their addresses. */
+public data class EngineGroup(
+    public val service: Service,
+    public val engines: Map<TargetId, Endpoint>
+)
+
+/** Engine services of [dataCentre] as configuration and host list have them. */
+public fun engineGroups(
+    dataCentre: DataCentre,
+    configuration: ConfigurationState,
+    routing: RoutingState
+): List<EngineGroup> {
+    val local = routing.targets.values.filter { it.dataCentre == dataCentre && !it.leaving }
+    return configuration.inForce.services.values
+        .filter { it.type == ServiceKind.ENGINE && it.model.isNotEmpty() }
+        .map { service ->
+            val engines = local.filter { it.service == service.name }
+            EngineGroup(service, engines.associate { it.id to it.endpoint })
+        }.filter { it.engines.isNotEmpty() }
+}
+
+/** The present moment by the wall clock, which only the forecast uses. */
+public fun wallClockMoment(): DayMoment = LocalDateTime.now().let {
+    DayMoment(it.toLocalDate().toEpochDay().toInt(), it.hour * MINUTES_PER_HOUR + it.minute)
+}
+
+private const val MINUTES_PER_HOUR = 60
+
+/**
+ * What a controller works with.
+ *
+ * @property holder name of this process, unique among all processes
+ * @property groups the engines to control now
+ * @property contends whether this process may ask for the lease
+ */
+public data class CapacitySettings(
+    public val dataCentre: DataCentre,
+    public val holder: String,
+    public val groups: () -> List<EngineGroup>,
+    public val contends: () -> Boolean = { true },
+    public val moment: () -> DayMoment = ::wallClockMoment,
+    public val planner: CapacityPlanner = ForecastPlanner(),
+    public val limits: CapacityLimits = CapacityLimits(),
+    public val timing: LeaseTiming = LeaseTiming()
+)
+
+/** Controls the engines of one data centre while it holds the lease. */
+public class CapacityController(
+    private val settings: CapacitySettings,
+    private val platform: Platform,
+    private val engineOrders: EngineOrders,
+    private val clock: MonotonicClock
+) {
+    private val timing = settings.timing
+    private val lease = "$LEASE_PREFIX${settings.dataCentre}"
+    private var hold: LeaseHold = LeaseHold.NotHeld()
+    private var pacing = LoadPacing()
+    private var levels: PersistentMap<ServiceName, ServiceLevel> = persistentMapOf()
+    private var histories: PersistentMap<ServiceName, DemandHistory> = persistentMapOf()
+
+    /** Controls until it is cancelled. */
+    public suspend fun run() {
+        while (true) {
+            val groups = settings.groups()
+            if (groups.isNotEmpty()) {
+                keepLease()
+                groups.forEach { control(it) }
+            }
+            delay(INTERVAL)
+        }
+    }
+
+    private suspend fun control(group: EngineGroup) {
+        if (hold.orderNumber(clock.now(), timing) == null) return
+        val views = readBack(group)
+        if (views.isEmpty()) return
+        val service = group.service
+        val demand = views.sumOf { it.demand }
+        val moment = settings.moment()
+        val history = (histories[service.name] ?: DemandHistory()).with(moment, demand)
+        histories = histories.put(service.name, history)
+        val wanted = settings.planner.wanted(history, moment, demand)
+        val available = service.minimumTargets.coerceAtMost(views.size)..views.size
+        val level =
+            (levels[service.name] ?: servingNow(views))
+                .on(wanted, available, clock.now(), settings.limits)
+        levels = levels.put(service.name, level)
+        val decision =
+            pacing.orders(views, level.engines, service.model, clock.now(), settings.limits)
+        pacing = decision.state
+        decision.actions.chunked(CALLS_AT_ONCE).forEach { send(group, it) }
+    }
+
+    /** A new holder continues at the level in force, so that a change of holder lowers nothing. */
+    private fun servingNow(views: List<EngineView>): ServiceLevel =
+        ServiceLevel(views.count { it.desired.role == EngineRoles.SERVING })
+
+    /** State of the engines that answer, with the lease kept in between. */
+    private suspend fun readBack(group: EngineGroup): List<EngineView> =
+        group.engines.entries.chunked(CALLS_AT_ONCE).flatMap { chunk ->
+            keepLease()
+            coroutineScope {
+                chunk
+                    .map { (id, endpoint) ->
+                        async {
+                            withTimeoutOrNull(timing.orderLimit) { engineOrders.readBack(endpoint) }
+                                ?.let { toView(id, it) }
+                        }
+                    }.awaitAll()
+                    .filterNotNull()
+            }
+        }
+
+    private suspend fun send(group: EngineGroup, orders: List<EngineOrder>) {
+        keepLease()
+        coroutineScope {
+            orders.forEach { order ->
+                val endpoint = group.engines.getValue(order.engine)
+                async { send(endpoint, order) }
+            }
+        }
+    }
+
+    /** Sends one order if the own clock permits it at this moment. */
+    private suspend fun send(endpoint: Endpoint, order: EngineOrder) {
+        val fencing = hold.orderNumber(clock.now(), timing) ?: return
+        val message = OrderMessage(fencing.value, order.desired.toMessage())
+        val result =
+            withTimeoutOrNull(timing.orderLimit) { engineOrders.order(endpoint, message) }
+                ?: OrderResult.UNCLEAR
+        logEvent("engine-order") {
+            "engine" to order.engine
+            "model" to order.desired.model
+            "role" to order.desired.role
+            "fencing" to fencing
+            "result" to result
+        }
+    }
+
+    private suspend fun keepLease() {
+        val askedAt = clock.now()
+        val request = hold.requestDue(askedAt, timing) ?: return
+        val result =
+            when (request) {
+                LeaseRequest.Acquire -> acquire() ?: return
+
+                is LeaseRequest.Renew ->
+                    platform.renewLease(
+                        lease,
+                        settings.holder,
+                        request.fencing,
+                        timing.timeToLive
+                    )
+            }
+        val before = hold
+        hold = hold.on(result.toAnswer(askedAt), clock.now(), timing)
+        logChange(before, hold)
+    }
+
+    private suspend fun acquire(): LeaseResult? {
+        if (!settings.contends()) return null
+        return platform.acquireLease(lease, settings.holder, timing.timeToLive)
+    }
+
+    private fun logChange(before: LeaseHold, after: LeaseHold) {
+        val old = (before as? LeaseHold.Held)?.fencing
+        val new = (after as? LeaseHold.Held)?.fencing
+        when {
+            old == new -> Unit
+
+            new == null -> logWarning("capacity-lease-lost") { "lease" to lease }
+
+            else ->
+                logEvent("capacity-lease-held") {
+                    "lease" to lease
+                    "fencing" to new
+                }
+        }
+    }
+
+    private fun LeaseResult.toAnswer(askedAt: MonotonicTime): LeaseAnswer = when (this) {
+        is LeaseResult.Held -> LeaseAnswer.Granted(askedAt, fencing)
+        is LeaseResult.HeldByOther -> LeaseAnswer.Refused(askedAt)
+        is LeaseResult.Unclear -> LeaseAnswer.Unclear(askedAt)
+    }
+
+    public companion object {
+        /** Lease of the controller, followed by the name of its data centre. */
+        public const val LEASE_PREFIX: String = "sapphirelever/capacity/"
+        private const val CALLS_AT_ONCE = 32
+        private val INTERVAL = 1.seconds
+    }
+}
+
+private fun toView(id: TargetId, report: EngineReport): EngineView = EngineView(
+    id = id,
+    desired = report.state.desired.toAssignment(),
+    actual = report.state.actual.toAssignment(),
+    demand = report.load.demand
+)
+
+private val LoadMessage.demand: Double
+    get() = if (slots > 0) (running + queued).toDouble() / slots else 0.0
+
+private fun EngineState.toAssignment(): EngineAssignment =
+    EngineAssignment(model, role, adapter, version)
+
+private fun EngineAssignment.toMessage(): EngineState = EngineState(model, adapter, version, role)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -17,6 +17,10 @@
 import org.sapphirelever.decisions.supervision.Strategy
 import org.sapphirelever.platform.Platform
 import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.capacity.CapacityController
+import org.sapphirelever.runtime.capacity.CapacitySettings
+import org.sapphirelever.runtime.capacity.HttpEngineOrders
+import org.sapphirelever.runtime.capacity.engineGroups
 import org.sapphirelever.runtime.dispatch.ImmediateDispatcher
 import org.sapphirelever.runtime.feed.ConfigurationFeed
 import org.sapphirelever.runtime.feed.ConfigurationWriter
@@ -38,7 +42,7 @@
     private val platform: Platform,
     client: TargetClient,
     policy: TargetPolicy = LeastOutstandingPolicy,
-    clock: MonotonicClock = SystemMonotonicClock,
+    private val clock: MonotonicClock = SystemMonotonicClock,
     random: Random = Random(settings.randomSeed)
 ) {
     public val incarnation: Incarnation = Incarnation(UUID.randomUUID().toString())
@@ -49,6 +53,12 @@
     private val executor = RequestExecutor(dispatcher, client, clock)
     private val requests =
         RequestRoutes(settings.host, settings.bodyLimit, configuration, executor, clock)
+    private val capacity =
+        CapacitySettings(
+            dataCentre = settings.dataCentre,
+            holder = incarnation.value,
+            groups = { engineGroups(settings.dataCentre, configuration.value, routing.value) }
+        )
     private val resources =
         ResourceRoutes(settings.bodyLimit, configuration, ConfigurationWriter(platform))
 
@@ -68,6 +78,13 @@
                 child("document") { ConfigurationFeed(platform, configuration).run() }
                 child("target-list") { TargetListFeed(platform, routing).run() }
             }
+            supervisor("capacity", RestartPolicy(Strategy.ONE_FOR_ONE)) {
+                child("controller") {
+                    HttpEngineOrders().use { orders ->
+                        CapacityController(capacity, platform, orders, clock).run()
+                    }
+                }
+            }
             supervisor("front-end", RestartPolicy(Strategy.ONE_FOR_ONE)) {
                 child("http") { HttpFrontEnd(settings.http, routes()).run() }
             }
--- /dev/null
+++ b/standins/src/test/kotlin/org/sapphirelever/standins/CapacityControllerTest.kt
@@ -0,0 +1,240 @@
+package org.sapphirelever.standins
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withContext
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.FencingNumber
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.resource.Service
+import org.sapphirelever.core.resource.ServiceKind
+import org.sapphirelever.decisions.Decision
+import org.sapphirelever.decisions.capacity.CapacityLimits
+import org.sapphirelever.platform.LeaseRequestMessage
+import org.sapphirelever.platform.LeaseResult
+import org.sapphirelever.platform.ListedHost
+import org.sapphirelever.platform.Platform
+import org.sapphirelever.platform.StoredValue
+import org.sapphirelever.platform.WriteResult
+import org.sapphirelever.runtime.capacity.CapacityController
+import org.sapphirelever.runtime.capacity.CapacitySettings
+import org.sapphirelever.runtime.capacity.EngineGroup
+import org.sapphirelever.runtime.capacity.EngineOrders
+import org.sapphirelever.runtime.capacity.EngineReport
+import org.sapphirelever.runtime.capacity.OrderResult
+import org.sapphirelever.wire.EngineState
+import org.sapphirelever.wire.LoadMessage
+import org.sapphirelever.wire.OrderMessage
+
+/**
+ * Guards against a paused lease holder whose late orders stay in force (R8, F2, F11, F18). Holder
+ * "old" orders the model "m1" and is paused once; holder "new" takes over and orders "m2".
+ */
+@OptIn(ExperimentalCoroutinesApi::class)
+class CapacityControllerTest {
+    private enum class Step { BEFORE_CHECK, BEFORE_SEND, AFTER_SEND, BEFORE_RENEWAL, AFTER_RENEWAL }
+
+    /** [cutOff]: the old holder does not reach the platform any more once it runs again (F8). */
+    private data class Case(
+        val step: Step,
+        val honours: Boolean,
+        val pause: Duration,
+        val cutOff: Boolean
+    )
+
+    private val cases =
+        Step.entries.flatMap { step ->
+            listOf(true, false).flatMap { honours ->
+                listOf(2.seconds, 11.seconds, 40.seconds).flatMap { pause ->
+                    listOf(true, false).map { Case(step, honours, pause, it) }
+                }
+            }
+        }
+
+    /** Platform, engines and history of one case, on the virtual time of [scope]. */
+    private class World(val scope: TestScope, val honours: Boolean) {
+        val clock = MonotonicClock { MonotonicTime(scope.currentTime * 1_000_000) }
+        var leases = PlatformState()
+        val grants = mutableListOf<Pair<Long, FencingNumber>>()
+        val engines =
+            (1..3)
+                .associate { engine(it) to EngineCell(PrefixCache(0, 0), EMPTY, EMPTY) }
+                .toMutableMap()
+
+        /** By holder: time at which it decided to send, and at which the engine received it. */
+        val orders = mutableMapOf<String, List<Pair<Long, Long>>>()
+
+        fun lease(
+            transition: PlatformState.() -> Decision<PlatformState, PlatformReply>
+        ): LeaseResult {
+            val decision = leases.transition()
+            leases = decision.state
+            return when (val reply = decision.actions.single()) {
+                is PlatformReply.LeaseHeld -> {
+                    val fencing = FencingNumber(reply.lease.fencing)
+                    if (grants.none { it.second == fencing }) grants += scope.currentTime to fencing
+                    LeaseResult.Held(fencing)
+                }
+
+                is PlatformReply.LeaseRefused -> LeaseResult.HeldByOther(reply.lease.holder)
+
+                else -> error("unexpected $reply")
+            }
+        }
+    }
+
+    /** One process, which is paused at [step] once, for [pause], from [PAUSE_AT] on. */
+    private class Process(
+        val world: World,
+        val name: String,
+        val step: Step? = null,
+        val pause: Duration = Duration.ZERO,
+        val cutOff: Boolean = false
+    ) : Platform,
+        EngineOrders {
+        private var paused = false
+
+        /** Stops the process as a whole: no timeout of its own can fire meanwhile. */
+        private suspend fun reach(at: Step) {
+            if (at != step || paused || world.scope.currentTime < PAUSE_AT) return
+            paused = true
+            withContext(NonCancellable) { delay(pause) }
+        }
+
+        override suspend fun readBack(engine: Endpoint): EngineReport {
+            delay(LATENCY)
+            reach(Step.BEFORE_CHECK)
+            val state = world.engines.getValue(engine).toMessage()
+            return EngineReport(state, LoadMessage(4, 4, 4, 0))
+        }
+
+        override suspend fun order(engine: Endpoint, message: OrderMessage): OrderResult {
+            val decided = world.scope.currentTime
+            reach(Step.BEFORE_SEND)
+            val received = world.scope.currentTime
+            world.orders.merge(name, listOf(decided to received)) { all, one -> all + one }
+            val decision = world.engines.getValue(engine).onOrder(message, world.honours)
+            world.engines[engine] = decision.state.onLoaded(decision.state.desired)
+            reach(Step.AFTER_SEND)
+            delay(LATENCY)
+            val taken = decision.actions.single() is OrderReply.Taken
+            return if (taken) OrderResult.TAKEN else OrderResult.OUTDATED
+        }
+
+        override suspend fun acquireLease(name: String, holder: String, timeToLive: Duration) =
+            ask(holder, timeToLive) { request, now -> onAcquire(name, request, now) }
+
+        override suspend fun renewLease(
+            name: String,
+            holder: String,
+            fencing: FencingNumber,
+            timeToLive: Duration
+        ): LeaseResult {
+            reach(Step.BEFORE_RENEWAL)
+            val result =
+                ask(holder, timeToLive, fencing.value) { request, now ->
+                    onRenew(name, request, now)
+                }
+            reach(Step.AFTER_RENEWAL)
+            return result
+        }
+
+        private suspend fun ask(
+            holder: String,
+            timeToLive: Duration,
+            fencing: Long = 0,
+            transition: PlatformState.(
+                LeaseRequestMessage,
+                MonotonicTime
+            ) -> Decision<PlatformState, PlatformReply>
+        ): LeaseResult {
+            delay(LATENCY)
+            if (cutOff && paused) return LeaseResult.Unclear("no connection")
+            val request = LeaseRequestMessage(holder, timeToLive.inWholeMilliseconds, fencing)
+            return world.lease { transition(request, world.clock.now()) }
+        }
+
+        override suspend fun releaseLease(name: String, holder: String, fencing: FencingNumber) {}
+
+        override suspend fun read(key: String): StoredValue = StoredValue("", 0)
+
+        override suspend fun watch(key: String, after: Long, wait: Duration): StoredValue? = null
+
+        override suspend fun hosts(): List<ListedHost>? = null
+
+        override suspend fun compareAndSwap(key: String, expected: Long, value: String) =
+            WriteResult.Written(expected + 1)
+    }
+
+    @Test
+    fun `a paused holder does not leave its orders in force`() = cases.forEach(::check)
+
+    private fun check(case: Case) = runTest {
+        val world = World(this, case.honours)
+        // The engine is emptied before each pause, so that "old" has an order to give then.
+        val old = Process(world, "old", case.step, case.pause, case.cutOff)
+        val new = Process(world, "new")
+        backgroundScope.launch { controller(old, "m1").run() }
+        advanceTimeBy(PAUSE_AT)
+        assertTrue(world.engines.values.all { it.actual.model == "m1" }, "$case: before the pause")
+        world.engines.replaceAll { _, cell -> cell.copy(desired = EMPTY, actual = EMPTY) }
+        backgroundScope.launch { controller(new, "m2").run() }
+        advanceTimeBy((case.pause + SETTLE).inWholeMilliseconds)
+
+        val takeOver = world.grants.getOrNull(1)?.first
+        val models = world.engines.values.map { it.actual.model }.toSet()
+        assertEquals(setOf(if (takeOver == null) "m1" else "m2"), models, "$case")
+        assertEquals(case.cutOff || case.pause > 15.seconds, takeOver != null, "$case")
+        if (takeOver == null) return@runTest
+        val oldOrders = world.orders.getValue("old")
+        val decidedLate = oldOrders.filter { it.first > takeOver }
+        assertEquals(emptyList(), decidedLate, "$case: decided after the take-over")
+        val receivedLate = oldOrders.count { it.second > takeOver }
+        val firstOrder = world.orders.getValue("new").minOf { it.first }
+        assertTrue(firstOrder >= takeOver + FIRST_ORDER_MILLIS, "$case: $takeOver, $firstOrder")
+        val late = case.step == Step.BEFORE_SEND && case.pause > 15.seconds
+        assertEquals(late, receivedLate > 0, "$case: $receivedLate late")
+    }
+
+    private fun controller(process: Process, model: String): CapacityController {
+        val service =
+            Service(ServiceName("s"), ServiceKind.ENGINE, model = model, minimumTargets = 3)
+        val engines = process.world.engines.keys.associateBy { TargetId("t${it.port}") }
+        val settings =
+            CapacitySettings(
+                dataCentre = DataCentre("dc"),
+                holder = process.name,
+                groups = { listOf(EngineGroup(service, engines)) },
+                limits = CapacityLimits(loadsPerMinute = 100)
+            )
+        return CapacityController(settings, process, process, process.world.clock)
+    }
+
+    private companion object {
+        val EMPTY = EngineState("")
+        val LATENCY = 2.milliseconds
+        val SETTLE = 60.seconds
+        const val PAUSE_AT = 30_000L
+
+        /** Section 4.8: order limit of 3 s and a margin. */
+        const val FIRST_ORDER_MILLIS = 8_000L
+
+        fun engine(port: Int) = Endpoint("127.0.0.1", port)
+    }
+}
