Correct long lines and an empty block in the capacity code

Change: shorter comments, `= Unit` for the empty function of a test. Ruled out: nothing; no behaviour changes.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/capacity/CapacityPlanner.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/capacity/CapacityPlanner.kt
@@ -102,7 +102,7 @@
         /** Three intervals of 5 min: a load paced by the weight store takes several minutes. */
         public const val DEFAULT_LEAD: Int = 3
 
-        /** An hour in either direction: sunset moves by minutes a day, a clock change by an hour. */
+        /** An hour either way: sunset moves by minutes a day, a clock change by an hour. */
         private const val MAXIMUM_DRIFT = 12
 
         /** A drift must fit better than none by this much, so that noise is not taken for one. */
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/capacity/EveningPeakSimulation.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/capacity/EveningPeakSimulation.kt
@@ -9,9 +9,9 @@
 
 /**
  * One service of 40 engines over days with an evening peak that comes [drift] minutes later each
- * day. The peak rises from 4 to 30 engines with a standard deviation of [spread] minutes; noise is
- * 5%. An engine that becomes standby is given to other work, so that raising the level needs a load,
- * which takes [LOAD_MINUTES] and is paced by the weight store.
+ * day. The peak rises from 4 to 30 engines with a standard deviation of [spread] minutes.
+ * Noise is 5%. An engine that becomes standby is given to other work, so that raising the level
+ * needs a load, which takes [LOAD_MINUTES] and is paced by the weight store.
  */
 class EveningPeakSimulation(
     private val spread: Double,
--- a/standins/src/test/kotlin/org/sapphirelever/standins/CapacityControllerTest.kt
+++ b/standins/src/test/kotlin/org/sapphirelever/standins/CapacityControllerTest.kt
@@ -170,7 +170,8 @@
             return world.lease { transition(request, world.clock.now()) }
         }
 
-        override suspend fun releaseLease(name: String, holder: String, fencing: FencingNumber) {}
+        override suspend fun releaseLease(name: String, holder: String, fencing: FencingNumber) =
+            Unit
 
         override suspend fun read(key: String): StoredValue = StoredValue("", 0)
 
