--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -73,8 +73,13 @@
 
     /** Links to other entry hosts, and the configuration in force. */
     public val network: PeerNetwork =
-        PeerNetwork(settings, incarnation, platform, clock, CrashMarks(repetition, clock)) {
-            targets ->
+        PeerNetwork(
+            settings,
+            incarnation,
+            platform,
+            clock,
+            CrashMarks(repetition, clock)
+        ) { targets ->
             routing.update { it.copy(targets = targets.toPersistentMap()) }
         }
     private val configuration = network.state.configuration
