Keep hosts from crowding one target and from shrinking limits for it

Cause: all hosts followed the same late reports to one target, whose queue then shrank every host's limit while others had free slots (trace: 20 queued on one target, 9 running on another).

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/DispatchTransitions.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/DispatchTransitions.kt
@@ -6,18 +6,19 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
 import org.sapphirelever.core.ErrorCode
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.decisions.Decision
 import org.sapphirelever.decisions.prediction.SizeClass
-import org.sapphirelever.decisions.routing.ExpectedCompletionPolicy
 import org.sapphirelever.decisions.routing.OutstandingCall
 import org.sapphirelever.decisions.routing.RoutingState
 import org.sapphirelever.decisions.routing.Target
 import org.sapphirelever.decisions.routing.TargetStatistics
 import org.sapphirelever.decisions.routing.candidates
 import org.sapphirelever.decisions.routing.depth
+import org.sapphirelever.decisions.routing.load
 import org.sapphirelever.decisions.routing.updated
 
 internal val WaitingCall.reservation: ReservationKey
@@ -71,7 +72,7 @@
     val long = call.size == SizeClass.LONG
     val statistics = checked.statistics(target.id)
     val expected = admission.times.of(call.kind).upper
-    val running = OutstandingCall(now, expected, long, depthAt(statistics, call, now))
+    val running = OutstandingCall(now, expected, long, depthAt(statistics, call))
     val routing = checked.updated(target.id) {
         it.withPrefix(call.routing.prefix, now).copy(
             calls = it.calls.put(call.id, running),
@@ -88,9 +89,9 @@
     )
 }
 
-private fun depthAt(statistics: TargetStatistics, call: WaitingCall, now: MonotonicTime): Double {
+private fun depthAt(statistics: TargetStatistics, call: WaitingCall): Double {
     val slots = (statistics.report?.slots ?: call.routing.slots).coerceAtLeast(1)
-    return depth(ExpectedCompletionPolicy().load(statistics, now), slots)
+    return depth(statistics.load(), slots)
 }
 
 /** The state after a granted call returned: room, times, limits and health of the target. */
@@ -129,15 +130,16 @@
     val call = finished.call
     val answered = finished.end == CallEnd.ANSWERED
     val measured = if (answered) times.with(call.kind, finished.took / running.depth) else times
-    val targets = routing.candidates(call.routing).size + call.routing.excluded.size
-    val greatest = call.routing.slots.toDouble() * targets
+    val everywhere = routing.candidates(call.routing.copy(excluded = persistentSetOf()))
+    val greatest = call.routing.slots.toDouble() * everywhere.size
+    val congested = routing.congested(everywhere)
     val round = times.of(call.kind).mean
     // The loser of a hedge is cancelled while its request goes on.
     val goesOn = answered || finished.end == CallEnd.CANCELLED
     val kept = if (goesOn) this else release(call.reservation)
     return kept.copy(times = measured).changed(call.service) {
         it.copy(
-            limit = it.limit.after(finished, it.running, greatest, round, now),
+            limit = it.limit.after(finished.end, congested, it.running, greatest, round, now),
             running = it.running - 1,
             runningLong = it.runningLong - if (running.long) 1 else 0
         )
@@ -145,19 +147,25 @@
 }
 
 private fun ConcurrencyLimit.after(
-    finished: FinishedCall,
+    end: CallEnd,
+    congested: Boolean,
     running: Int,
     greatest: Double,
     round: Duration,
     now: MonotonicTime
-): ConcurrencyLimit {
-    val load = finished.load
-    val congested = load != null && load.queued > load.slots * CONGESTED_SHARE
-    return when {
-        finished.end == CallEnd.BUSY || congested -> decreased(now, round)
-        finished.end == CallEnd.ANSWERED -> increased(running, greatest)
-        else -> this
-    }
+): ConcurrencyLimit = when {
+    end == CallEnd.BUSY || congested -> decreased(now, round)
+    end == CallEnd.ANSWERED -> increased(running, greatest)
+    else -> this
+}
+
+/**
+ * Whether the targets together queue more than [CONGESTED_SHARE] of their slots. A queue on one
+ * target while another has free slots is a matter of choice, not of the limit.
+ */
+private fun RoutingState.congested(targets: List<Target>): Boolean {
+    val reports = targets.mapNotNull { statistics(it.id).report }
+    return reports.sumOf { it.queued } > reports.sumOf { it.slots } * CONGESTED_SHARE
 }
 
 private fun DispatchRules.health(
@@ -198,5 +206,5 @@
     return ejection.eject(routing, id, now)
 }
 
-/** Share of the slots of a target that may be queued there before hosts send less. */
+/** Share of the slots of a service that may be queued before hosts send less. */
 private const val CONGESTED_SHARE = 0.25
