Accept less predicted wait, and test the policies and the stated targets

Change: the predicted wait may take a quarter of the slack. Ruled out: a longer queue, which adds no useful throughput once the slots are busy.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/Dispatching.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/Dispatching.kt
@@ -42,7 +42,7 @@
     public val policy: TargetPolicy = ExpectedCompletionPolicy(),
     public val ejection: EjectionRules = EjectionRules(),
     public val longShare: Double = 0.5,
-    public val waitShare: Double = 0.4,
+    public val waitShare: Double = 0.25,
     public val queueLength: Int = 512,
     public val assumedHosts: Int = 8
 ) {
@@ -114,10 +114,7 @@
         now: MonotonicTime,
         random: Random
     ): Dispatching? {
-        val admission = state.admission.services[service] ?: return null
-        if (admission.running >= admission.limit.limit) return null
-        val longRoom = maxOf(1.0, admission.limit.limit * longShare)
-        val queued = admission.queue.next(now, admission.runningLong < longRoom) ?: return null
+        val queued = next(state, service, now) ?: return null
         val call = queued.call
         val taken = state.copy(
             admission = state.admission.changed(service) {
@@ -125,15 +122,24 @@
             }
         )
         if (!state.admission.mayStillFinish(call, now)) {
-            val released = taken.copy(admission = taken.admission.release(call.reservation))
-            return released.refuse(call, ErrorCode.DEADLINE_UNREACHABLE, RETRY)
+            return taken.drop(call, ErrorCode.DEADLINE_UNREACHABLE)
         }
         val target = choose(taken.routing, call, now, random)
-        if (target != null) return taken.granted(call, target.second, target.first, now)
-        val released = taken.copy(admission = taken.admission.release(call.reservation))
-        return released.refuse(call, ErrorCode.NO_TARGET, RETRY)
+            ?: return taken.drop(call, ErrorCode.NO_TARGET)
+        return taken.granted(call, target.second, target.first, now)
     }
 
+    /** The call that room at [service] goes to next, or null if there is no room or no call. */
+    private fun next(state: DispatchState, service: ServiceName, now: MonotonicTime): QueuedCall? {
+        val admission = state.admission.services[service] ?: return null
+        if (admission.running >= admission.limit.limit) return null
+        val longRoom = maxOf(1.0, admission.limit.limit * longShare)
+        return admission.queue.next(now, admission.runningLong < longRoom)
+    }
+
+    private fun DispatchState.drop(call: WaitingCall, code: ErrorCode): Dispatching =
+        copy(admission = admission.release(call.reservation)).refuse(call, code, RETRY)
+
     private fun choose(
         routing: RoutingState,
         call: WaitingCall,
--- /dev/null
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/admission/FairQueueTest.kt
@@ -0,0 +1,84 @@
+package org.sapphirelever.decisions.admission
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.OrganisationName
+import org.sapphirelever.core.Priority
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.decisions.prediction.SizeClass
+import org.sapphirelever.decisions.routing.RoutingRequest
+
+/** Guards against unfair shares, starvation and calls that are lost or served twice. */
+class FairQueueTest {
+    private val start = MonotonicTime.ZERO
+    private var ids = 0L
+
+    private fun call(
+        organisation: String,
+        weight: Int = 1,
+        priority: Priority = Priority.STANDARD,
+        size: SizeClass = SizeClass.SHORT
+    ) = WaitingCall(
+        id = ids++,
+        organisation = OrganisationName(organisation),
+        weight = weight,
+        priority = priority,
+        size = size,
+        routing = RoutingRequest(ServiceName("s")),
+        deadline = start + 4.seconds,
+        first = true
+    )
+
+    private fun FairQueue.drain(count: Int, now: MonotonicTime = start): List<WaitingCall> {
+        var queue = this
+        return List(count) {
+            val next = checkNotNull(queue.next(now, longPermitted = true))
+            queue = queue.take(next)
+            next.call
+        }
+    }
+
+    @Property(tries = 100, seed = "3")
+    fun `organisations with work share by weight`(
+        @ForAll @IntRange(min = 1, max = 8) weight: Int,
+        @ForAll @IntRange(min = 1, max = 10) burst: Int
+    ) {
+        val greedy = List(100 * burst) { call("greedy") }
+        val other = List(100) { call("other", weight) }
+        val queue = (greedy + other).fold(FairQueue()) { queue, call -> queue.add(call, start) }
+        val served = queue.drain(100).count { it.organisation.value == "other" }
+        val share = 100.0 * weight / (weight + 1)
+        assertTrue(served in (share - 1).toInt()..(share + 2).toInt(), "$served of $share")
+        val all = queue.drain(greedy.size + other.size).map { it.id }
+        assertEquals(all.size, all.toSet().size)
+    }
+
+    @Test
+    fun `ageing lets batch work pass newer interactive work`() {
+        val batch = call("small", priority = Priority.BATCH)
+        val aged = FairQueue().add(batch, start)
+        val later = start + 1.seconds
+        val queue = (1..50).fold(aged) { queue, _ ->
+            queue.add(call("large", 8, Priority.INTERACTIVE), later)
+        }
+        assertEquals(batch.id, queue.drain(1, later).single().id)
+        val fresh = aged.add(call("large", 8, Priority.INTERACTIVE), start)
+        assertEquals("large", fresh.drain(1).single().organisation.value)
+    }
+
+    @Test
+    fun `short work passes long work that has no room`() {
+        val long = call("a", size = SizeClass.LONG)
+        val short = call("a")
+        val queue = FairQueue().add(long, start).add(short, start)
+        assertEquals(short.id, queue.next(start, longPermitted = false)?.call?.id)
+        assertEquals(long.id, queue.next(start, longPermitted = true)?.call?.id)
+        assertEquals(1, queue.remove(long).size)
+    }
+}
--- a/load/src/main/kotlin/org/sapphirelever/load/experiment/Experiments.kt
+++ b/load/src/main/kotlin/org/sapphirelever/load/experiment/Experiments.kt
@@ -50,7 +50,7 @@
     )
 
     override fun run(deployment: Deployment, approach: Approach, seed: Long): Map<String, Double> {
-        val levels = mapOf("1" to 1.0, "1.5" to 1.5, "2" to 2.0)
+        val levels = mapOf("1" to 1.0, "1.5" to HALF_OVER, "2" to 2.0)
         val runs = levels.mapValues { (_, level) ->
             val scenario = Scenario(deployment, load = level / SURGE, surge = SURGE)
             scenario to scenario.measure(approach, seed)
@@ -74,6 +74,7 @@
     }
 
     private const val SURGE = 4.0
+    private const val HALF_OVER = 1.5
 }
 
 /** 2% of the requests are 30 times longer. */
--- /dev/null
+++ b/load/src/test/kotlin/org/sapphirelever/load/experiment/ExperimentTest.kt
@@ -0,0 +1,29 @@
+package org.sapphirelever.load.experiment
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Guards the performance targets of section 1.3; virtual time makes the runs repeatable. */
+class ExperimentTest {
+    @Test
+    fun `the chosen policy meets the stated targets on both deployments`() {
+        val experiments = listOf(SurgeExperiment, LongWorkExperiment, StragglerExperiment)
+        val rows = experiments.flatMap { runExperiment(it, SEED, approaches = listOf(CHOSEN)) }
+        assertEquals(emptyList(), rows.filter { it.missed.isNotEmpty() })
+    }
+
+    @Test
+    fun `the p99 with a straggler is below every baseline`() {
+        for (deployment in DEPLOYMENTS) {
+            val rows = runExperiment(StragglerExperiment, SEED, listOf(deployment))
+            val p99 = rows.associate { it.approach to it.figures.getValue("p99 with ms") }
+            val best = (p99 - CHOSEN.name).values.min()
+            assertTrue(p99.getValue(CHOSEN.name) < best, "${deployment.name}: $p99")
+        }
+    }
+
+    private companion object {
+        const val SEED = 7L
+    }
+}
