--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -144,6 +144,10 @@
         network.keyRequests = keyed
     }
 
+    /** A host without a target list would refuse each request, so it takes none. */
+    private val ready: Boolean
+        get() = configuration.value.ready && routing.value.targets.isNotEmpty()
+
     /** Starts the graceful shutdown; a second call ends the host at once. */
     public fun signal() {
         shutdown.signal()
@@ -195,7 +199,7 @@
 
     private fun routes(): List<Routes> = listOf(
         callGate(shutdown),
-        healthRoutes { configuration.value.ready && shutdown.announcesReady },
+        healthRoutes { ready && shutdown.announcesReady },
         requests.routes,
         resources.routes,
         metrics.routes,
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
@@ -71,20 +71,20 @@
         name: String,
         holder: String,
         timeToLive: Duration
-    ): LeaseResult = LeaseResult.Unclear("fixed")
+    ): LeaseResult = LeaseResult.Held(FencingNumber(1))
 
     override suspend fun renewLease(
         name: String,
         holder: String,
         fencing: FencingNumber,
         timeToLive: Duration
-    ): LeaseResult = LeaseResult.Unclear("fixed")
+    ): LeaseResult = LeaseResult.Held(FencingNumber(1))
 
     override suspend fun releaseLease(name: String, holder: String, fencing: FencingNumber): Unit =
         Unit
 
     override suspend fun hosts(): List<ListedHost> =
-        listOf(ListedHost("t", "pool", "here", "127.0.0.1", 1, leaving = false))
+        listOf("pool", "register").map { ListedHost(it, it, "here", "127.0.0.1", 1, leaving = false) }
 }
 
 /** Answers each call with its input; a call whose input contains `hold` waits for [released]. */
