Report a lost result as unknown after an earlier side effect, spread leaving

Cause: a request whose first non-idempotent stage was done and whose second may have run was reported as failed after running with its side effects done, though the second is not known. A target that refused as leaving was known to one host only, and the next host list brought it back.

Change: progress remembers uncertainty apart from the strongest statement; a decorator of the dispatcher reports leaving targets to the peers.

Ruled out: a new outcome; outcome-unknown says what the caller must know.

Conclusion: no certain statement is made while a side effect is open.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/attempt/RequestProgress.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/attempt/RequestProgress.kt
@@ -13,11 +13,13 @@
  * What the attempts of a request so far prove.
  *
  * @property anyStageRan whether a target may have started any stage
- * @property sideEffects what is known of stages that must not repeat
+ * @property sideEffects strongest statement about a stage that must not repeat
+ * @property uncertain whether the result of any stage that must not repeat is not known
  */
 public data class RequestProgress(
     public val anyStageRan: Boolean = false,
-    public val sideEffects: SideEffects = SideEffects.NONE
+    public val sideEffects: SideEffects = SideEffects.NONE,
+    public val uncertain: Boolean = sideEffects == SideEffects.POSSIBLE
 ) {
     /** Progress after an attempt at a stage ended with [result]. */
     public fun after(result: AttemptResult, idempotent: Boolean): RequestProgress = when (result) {
@@ -40,7 +42,7 @@
         detail: String = ""
     ): Outcome = when {
         !anyStageRan -> Outcome.NotRun(code, retry, stage, detail)
-        sideEffects == SideEffects.POSSIBLE -> Outcome.Unknown(code, stage, detail)
+        uncertain -> Outcome.Unknown(code, stage, detail)
         else -> Outcome.FailedAfterRunning(code, stage, sideEffects, safe(retry), detail)
     }
 
@@ -48,6 +50,9 @@
     private fun safe(retry: RetryAdvice): RetryAdvice =
         if (sideEffects == SideEffects.NONE) retry else RetryAdvice.NEVER
 
-    private fun ran(effects: SideEffects): RequestProgress =
-        copy(anyStageRan = true, sideEffects = sideEffects.and(effects))
+    private fun ran(effects: SideEffects): RequestProgress = RequestProgress(
+        anyStageRan = true,
+        sideEffects = sideEffects.and(effects),
+        uncertain = uncertain || effects == SideEffects.POSSIBLE
+    )
 }
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/attempt/RequestProgressTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/attempt/RequestProgressTest.kt
@@ -3,12 +3,19 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
+import org.sapphirelever.core.AttemptId
 import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.Incarnation
 import org.sapphirelever.core.Outcome
+import org.sapphirelever.core.RequestId
 import org.sapphirelever.core.RetryAdvice
 import org.sapphirelever.core.SideEffects
+import org.sapphirelever.core.StageName
 
-/** Guards against advice to send a request again whose side effects are done. */
+/**
+ * Guards against advice to send a request again whose side effects are done, and against a certain
+ * statement where a side effect is not known.
+ */
 class RequestProgressTest {
     private data class Case(val progress: RequestProgress, val expected: Outcome)
 
@@ -28,6 +35,14 @@
             )
         )
 
+    @Test
+    fun `a second stage with side effects whose result is lost leaves the outcome unknown`() {
+        val booked = RequestProgress().after(answered, idempotent = false)
+        val lost = AttemptResult.MayHaveRun(ErrorCode.TARGET_LOST)
+        val progress = booked.after(lost, idempotent = false)
+        assertEquals(Outcome.Unknown(CODE), progress.failure(CODE, null))
+    }
+
     @Test
     fun `the outcome and its advice follow from what may have run`() {
         for (case in cases) {
@@ -41,5 +56,8 @@
 
     private companion object {
         val CODE = ErrorCode.OVERLOADED
+        val attempt = AttemptId(RequestId("r"), StageName("book"), 1)
+        val answered =
+            AttemptResult.Answered(StageAnswer(AnswerIdentity(attempt, Incarnation("t")), "booked"))
     }
 }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/dispatch/LeavingReports.kt
@@ -0,0 +1,21 @@
+/*
+ * Reports of leaving targets: a target that refuses a call because it is leaving is known to this
+ * host seconds before the host list says so.
+ */
+package org.sapphirelever.runtime.dispatch
+
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.attempt.AttemptResult
+import org.sapphirelever.decisions.attempt.RefusalReason
+
+/** Dispatches by [dispatcher] and calls [onLeaving] for each target that refuses as leaving. */
+public class LeavingReports(
+    private val dispatcher: TargetDispatcher,
+    private val onLeaving: (TargetId) -> Unit
+) : TargetDispatcher by dispatcher {
+    override fun release(demand: StageDemand, grant: Grant, report: CallReport?) {
+        dispatcher.release(demand, grant, report)
+        val refusal = (report?.result as? AttemptResult.NotRun)?.refusal
+        if (refusal == RefusalReason.LEAVING) onLeaving(grant.target.id)
+    }
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -29,6 +29,7 @@
 import org.sapphirelever.runtime.capacity.CapacitySettings
 import org.sapphirelever.runtime.capacity.HttpEngineOrders
 import org.sapphirelever.runtime.capacity.engineGroups
+import org.sapphirelever.runtime.dispatch.LeavingReports
 import org.sapphirelever.runtime.dispatch.QueueingDispatcher
 import org.sapphirelever.runtime.feed.ConfigurationWriter
 import org.sapphirelever.runtime.http.HttpFrontEnd
@@ -91,7 +92,9 @@
             clock,
             random
         ) { configuration.value.inForce.organisations[it] }
-    private val executor = RequestExecutor(dispatcher, client, clock, repetition)
+    private val reporting =
+        LeavingReports(dispatcher) { network.protocol.report(it, dead = false) }
+    private val executor = RequestExecutor(reporting, client, clock, repetition)
     private val burn = BurnRecorder(settings.host, settings.objective, clock)
     private val explanations = Explanations()
     private val capacity =
