Rank members and targets by one rendezvous hash

Cause: decisions/membership and decisions/routing each held a 64-bit FNV-1a hash with a final mix, under one name (rendezvousRank) and with different separators and mixing rounds.

Ranks of targets change, because the routing copy mixed once and separated by 0x1F; which 48 targets a host uses is arbitrary anyway.

Ruled out: the single round for both, since it would have moved the ring of links, whose slopes are measured; a concatenated key for targets, since a choice ranks up to 48 targets for each call and would allocate for each.

The table of docs/design/policy.md was measured with the former rank of targets and was not measured anew here.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipState.kt
@@ -13,6 +13,7 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.decisions.stableHash
 
 /**
  * Times and bounds of membership.
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/routing/ExpectedCompletionPolicy.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/routing/ExpectedCompletionPolicy.kt
@@ -8,6 +8,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.rendezvousRank
 
 /**
  * Chooses by expected completion time.
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/routing/TargetIndex.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/routing/TargetIndex.kt
@@ -12,6 +12,7 @@
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.rendezvousRank
 
 /** Greatest number of targets of one service that a host uses in one data centre. */
 public const val SUBSET_SIZE: Int = 48
@@ -56,19 +57,3 @@
     return targets.sortedByDescending { rendezvousRank(host.value, it.id.value) }
         .take(SUBSET_SIZE)
 }
-
-/** Rank of [candidate] for [key]: a 64-bit FNV-1a hash whose bits are mixed at the end. */
-public fun rendezvousRank(key: String, candidate: String): Long {
-    var hash = FNV_OFFSET
-    for (character in key) hash = (hash xor character.code.toLong()) * FNV_PRIME
-    hash = (hash xor SEPARATOR) * FNV_PRIME
-    for (character in candidate) hash = (hash xor character.code.toLong()) * FNV_PRIME
-    hash = (hash xor (hash ushr MIX_SHIFT)) * MIX_FACTOR
-    return hash xor (hash ushr MIX_SHIFT)
-}
-
-private const val FNV_OFFSET = -3750763034362895579L
-private const val FNV_PRIME = 1099511628211L
-private const val MIX_FACTOR = -49064778989728563L
-private const val MIX_SHIFT = 33
-private const val SEPARATOR = 0x1FL
