Decide and hold leases in one place

Cause: the elected reader and the capacity controller each had a lease decision (decisions/lease LeaseState, decisions/capacity LeaseHold) and each carried calls out on its own.

Change: LeaseState takes the wait of a new holder (firstActDelay, reckoned from the reply) and separate intervals for renewal, repetition and acquisition. runtime/lease/LeaseHolder carries its actions out for both users. The limit of an order is a setting of the controller, since no lease needs it. Terms are as before: 15 s, margin 5 s, first order after 8 s, order limit 3 s.

Differences that a trace can show: after a refused renewal the controller asks again after 1 s instead of 5 s, then every 5 s; a lease held past its end by a host that is no longer a candidate is released; the reader does not contend again after its release at a planned stop; a renewal in flight during the release no longer permits an act; reader leases are logged, and the events are named lease-held, lease-released and lease-lost.

Ruled out: reckoning the wait of a new holder from the time before the call: the platform may grant just before the reply, and the former holder may act up to its margin before that.

Conclusion: one lease decision and one holder; the stop margin and the safety against pauses are tested as before.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/lease/LeaseState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/lease/LeaseState.kt
@@ -15,19 +15,36 @@
 /**
  * Times of a lease.
  *
- * @property margin time before the end at which the holder stops acting
- * @property renewEvery interval of renewals, and of attempts while another host holds the lease
+ * @property margin time before the end at which the holder stops acting; it covers an act in
+ *   flight and a pause between check and act
+ * @property renewEvery time from one extension to the request for the next
+ * @property repeatEvery time after which a renewal without a usable reply is sent again
+ * @property acquireEvery interval of attempts while this process does not hold the lease
+ * @property firstActDelay wait of a new holder after the grant, for acts of the former holder that
+ *   may still be in flight
  */
 public data class LeaseTerms(
     public val timeToLive: Duration = 15.seconds,
     public val margin: Duration = 5.seconds,
-    public val renewEvery: Duration = 4.seconds
+    public val renewEvery: Duration = 4.seconds,
+    public val repeatEvery: Duration = renewEvery,
+    public val acquireEvery: Duration = 4.seconds,
+    public val firstActDelay: Duration = Duration.ZERO
 )
 
-/** A granted lease; [sentAt] is the local time before the call was sent. */
-public data class HeldLease(public val fencing: FencingNumber, public val sentAt: MonotonicTime)
+/**
+ * A granted lease.
+ *
+ * @property sentAt local time before the call that last extended the lease was sent
+ * @property actFrom earliest time at which the holder acts
+ */
+public data class HeldLease(
+    public val fencing: FencingNumber,
+    public val sentAt: MonotonicTime,
+    public val actFrom: MonotonicTime
+)
 
-/** State of one lease on one host. [nextCall] is the earliest time of the next call. */
+/** State of one lease in one process. [nextCall] is the earliest time of the next call. */
 public data class LeaseState(
     public val terms: LeaseTerms = LeaseTerms(),
     public val held: HeldLease? = null,
@@ -37,17 +54,36 @@
     public val actUntil: MonotonicTime?
         get() = held?.let { it.sentAt + terms.timeToLive - terms.margin }
 
-    public fun mayAct(now: MonotonicTime): Boolean = actUntil?.let { now < it } ?: false
+    /** Fencing number for an act at [now], or null if this process may not act. */
+    public fun fencingFor(now: MonotonicTime): FencingNumber? {
+        val lease = held ?: return null
+        val until = actUntil ?: return null
+        return lease.fencing.takeIf { now >= lease.actFrom && now < until }
+    }
+
+    public fun mayAct(now: MonotonicTime): Boolean = fencingFor(now) != null
+
+    /** Whether the lease has not reached its end at [now]; the holder may be past its margin. */
+    public fun isHeld(now: MonotonicTime): Boolean =
+        held?.let { now < it.sentAt + terms.timeToLive } ?: false
 }
 
 public sealed interface LeaseEvent {
-    /** Time has passed; [eligible] says whether this host should contend. */
+    /** Time has passed; [eligible] says whether this process should hold or contend. */
     public data class Tick(public val now: MonotonicTime, public val eligible: Boolean) :
         LeaseEvent
 
-    /** The platform granted or renewed the lease in answer to a call sent at [sentAt]. */
-    public data class Granted(public val fencing: FencingNumber, public val sentAt: MonotonicTime) :
-        LeaseEvent
+    /**
+     * The platform granted or renewed the lease.
+     *
+     * @property sentAt local time before the call was sent; the lease is reckoned from it
+     * @property receivedAt local time of the reply; the wait of a new holder is reckoned from it
+     */
+    public data class Granted(
+        public val fencing: FencingNumber,
+        public val sentAt: MonotonicTime,
+        public val receivedAt: MonotonicTime
+    ) : LeaseEvent
 
     public data object HeldByOther : LeaseEvent
 
@@ -65,21 +101,29 @@
 
 public fun LeaseState.on(event: LeaseEvent): Decision<LeaseState, LeaseAction> = when (event) {
     is LeaseEvent.Tick -> onTick(event)
-    is LeaseEvent.Granted -> copy(held = HeldLease(event.fencing, event.sentAt)).decide()
+    is LeaseEvent.Granted -> onGranted(event).decide()
     LeaseEvent.HeldByOther -> copy(held = null).decide()
     LeaseEvent.Unclear -> decide()
 }
 
+/** A renewal keeps the earliest time of acts; a new fencing number starts the wait anew. */
+private fun LeaseState.onGranted(event: LeaseEvent.Granted): LeaseState {
+    val known = held?.takeIf { it.fencing == event.fencing }
+    val actFrom = known?.actFrom ?: (event.receivedAt + terms.firstActDelay)
+    return copy(
+        held = HeldLease(event.fencing, event.sentAt, actFrom),
+        nextCall = event.sentAt + terms.renewEvery
+    )
+}
+
 private fun LeaseState.onTick(event: LeaseEvent.Tick): Decision<LeaseState, LeaseAction> {
-    val lease = held
     if (!event.eligible) return withdraw()
     val due = nextCall
     if (due != null && event.now < due) return decide()
-    val waiting = copy(nextCall = event.now + terms.renewEvery)
-    if (lease == null || event.now >= lease.sentAt + terms.timeToLive) {
-        return waiting.copy(held = null).decide(LeaseAction.Acquire)
-    }
-    return waiting.decide(LeaseAction.Renew(lease.fencing))
+    val lease = held?.takeIf { isHeld(event.now) }
+        ?: return copy(held = null, nextCall = event.now + terms.acquireEvery)
+            .decide(LeaseAction.Acquire)
+    return copy(nextCall = event.now + terms.repeatEvery).decide(LeaseAction.Renew(lease.fencing))
 }
 
 private fun LeaseState.withdraw(): Decision<LeaseState, LeaseAction> {
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/lease/LeaseStateTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/lease/LeaseStateTest.kt
@@ -10,7 +10,7 @@
 class LeaseStateTest {
     private val start = MonotonicTime.ZERO
     private val fencing = FencingNumber(3)
-    private val held = LeaseState().on(LeaseEvent.Granted(fencing, start)).state
+    private val held = LeaseState().on(LeaseEvent.Granted(fencing, start, start)).state
 
     @Test
     fun `the holder acts from the call until five seconds before the end`() {
@@ -34,6 +34,7 @@
         val cases = listOf(
             Case(LeaseState(), 0, true, LeaseAction.Acquire),
             Case(LeaseState(), 0, false, null),
+            Case(held, 3, true, null),
             Case(held, 4, true, LeaseAction.Renew(fencing)),
             Case(held.copy(nextCall = start + 8.seconds), 4, true, null),
             Case(held, 15, true, LeaseAction.Acquire),
@@ -44,4 +45,23 @@
             assertEquals(case.action, case.state.on(event).actions.singleOrNull(), "$case")
         }
     }
+
+    /** Guards against an order of the former holder that arrives after that of the new one. */
+    @Test
+    fun `a new holder waits after the reply and a renewal keeps the end of the wait`() {
+        val terms = LeaseTerms(firstActDelay = 8.seconds)
+        val reply = start + 1.seconds
+        val granted = LeaseState(terms).on(LeaseEvent.Granted(fencing, start, reply)).state
+        val renewal = LeaseEvent.Granted(fencing, start + 3.seconds, start + 3.seconds)
+        val again = LeaseEvent.Granted(FencingNumber(4), start + 3.seconds, start + 4.seconds)
+        val cases = listOf(
+            granted to (9..9),
+            granted.on(renewal).state to (9..12),
+            granted.on(again).state to (12..12)
+        )
+        for ((state, seconds) in cases) {
+            val acts = (0..30).filter { state.mayAct(start + it.seconds) }
+            assertEquals(seconds.toList(), acts, "$state")
+        }
+    }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/capacity/CapacityController.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/capacity/CapacityController.kt
@@ -5,6 +5,7 @@
 package org.sapphirelever.runtime.capacity
 
 import java.time.LocalDateTime
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
@@ -16,7 +17,6 @@
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.MonotonicClock
-import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.resource.Service
@@ -30,22 +30,16 @@
 import org.sapphirelever.decisions.capacity.EngineRoles
 import org.sapphirelever.decisions.capacity.EngineView
 import org.sapphirelever.decisions.capacity.ForecastPlanner
-import org.sapphirelever.decisions.capacity.LeaseAnswer
-import org.sapphirelever.decisions.capacity.LeaseHold
-import org.sapphirelever.decisions.capacity.LeaseRequest
-import org.sapphirelever.decisions.capacity.LeaseTiming
 import org.sapphirelever.decisions.capacity.LoadPacing
 import org.sapphirelever.decisions.capacity.ServiceLevel
 import org.sapphirelever.decisions.capacity.on
-import org.sapphirelever.decisions.capacity.orderNumber
 import org.sapphirelever.decisions.capacity.orders
-import org.sapphirelever.decisions.capacity.requestDue
 import org.sapphirelever.decisions.configuration.ConfigurationState
+import org.sapphirelever.decisions.lease.LeaseTerms
 import org.sapphirelever.decisions.routing.RoutingState
-import org.sapphirelever.platform.LeaseResult
 import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.lease.LeaseHolder
 import org.sapphirelever.runtime.log.logEvent
-import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.wire.EngineState
 import org.sapphirelever.wire.LoadMessage
 import org.sapphirelever.wire.OrderMessage
@@ -84,6 +78,10 @@
  * @property holder name of this process, unique among all processes
  * @property groups the engines to control now
  * @property contends whether this process may ask for the lease
+ * @property terms times of the lease; a new holder waits longer than [orderLimit] before its first
+ *   order, since an engine that ignores fencing numbers must have seen the last order of the
+ *   former holder
+ * @property orderLimit time after which an order or a read-back in flight is given up
  */
 public data class CapacitySettings(
     public val dataCentre: DataCentre,
@@ -93,24 +91,36 @@
     public val moment: () -> DayMoment = ::wallClockMoment,
     public val planner: CapacityPlanner = ForecastPlanner(),
     public val limits: CapacityLimits = CapacityLimits(),
-    public val timing: LeaseTiming = LeaseTiming()
+    public val terms: LeaseTerms = CAPACITY_LEASE,
+    public val orderLimit: Duration = 3.seconds
 )
 
+/** The margin covers an order in flight (3 s) and a pause between check and send. */
+private val CAPACITY_LEASE =
+    LeaseTerms(
+        timeToLive = 15.seconds,
+        margin = 5.seconds,
+        renewEvery = 3.seconds,
+        repeatEvery = 1.seconds,
+        acquireEvery = 5.seconds,
+        firstActDelay = 8.seconds
+    )
+
 /** Controls the engines of one data centre while it holds the lease. */
 public class CapacityController(
     private val settings: CapacitySettings,
-    private val platform: Platform,
+    platform: Platform,
     private val engineOrders: EngineOrders,
     private val clock: MonotonicClock
 ) {
-    private val timing = settings.timing
-    private val lease = "$LEASE_PREFIX${settings.dataCentre}"
-
-    @Volatile
-    private var hold: LeaseHold = LeaseHold.NotHeld()
-
-    @Volatile
-    private var released = false
+    private val lease =
+        LeaseHolder(
+            platform,
+            "$LEASE_PREFIX${settings.dataCentre}",
+            settings.holder,
+            clock,
+            settings.terms
+        )
     private var pacing = LoadPacing()
     private var levels: PersistentMap<ServiceName, ServiceLevel> = persistentMapOf()
     private var histories: PersistentMap<ServiceName, DemandHistory> = persistentMapOf()
@@ -129,14 +139,11 @@
 
     /** Gives the lease up at a planned stop; an order in flight stays inside its time limit. */
     public suspend fun release() {
-        released = true
-        val held = hold as? LeaseHold.Held ?: return
-        hold = LeaseHold.NotHeld()
-        platform.releaseLease(lease, settings.holder, held.fencing)
+        lease.release()
     }
 
     private suspend fun control(group: EngineGroup) {
-        if (hold.orderNumber(clock.now(), timing) == null) return
+        if (lease.fencing == null) return
         val views = readBack(group)
         if (views.isEmpty()) return
         val service = group.service
@@ -168,8 +175,9 @@
                 chunk
                     .map { (id, endpoint) ->
                         async {
-                            withTimeoutOrNull(timing.orderLimit) { engineOrders.readBack(endpoint) }
-                                ?.let { toView(id, it) }
+                            withTimeoutOrNull(settings.orderLimit) {
+                                engineOrders.readBack(endpoint)
+                            }?.let { toView(id, it) }
                         }
                     }.awaitAll()
                     .filterNotNull()
@@ -188,10 +196,10 @@
 
     /** Sends one order if the own clock permits it at this moment. */
     private suspend fun send(endpoint: Endpoint, order: EngineOrder) {
-        val fencing = hold.orderNumber(clock.now(), timing) ?: return
+        val fencing = lease.fencing ?: return
         val message = OrderMessage(fencing.value, order.desired.toMessage())
         val result =
-            withTimeoutOrNull(timing.orderLimit) { engineOrders.order(endpoint, message) }
+            withTimeoutOrNull(settings.orderLimit) { engineOrders.order(endpoint, message) }
                 ?: OrderResult.UNCLEAR
         logEvent("engine-order") {
             "engine" to order.engine
@@ -202,52 +210,9 @@
         }
     }
 
+    /** A holder keeps its lease when it no longer contends, until it is released or lapses. */
     private suspend fun keepLease() {
-        if (released) return
-        val askedAt = clock.now()
-        val request = hold.requestDue(askedAt, timing) ?: return
-        val result =
-            when (request) {
-                LeaseRequest.Acquire -> acquire() ?: return
-
-                is LeaseRequest.Renew ->
-                    platform.renewLease(
-                        lease,
-                        settings.holder,
-                        request.fencing,
-                        timing.timeToLive
-                    )
-            }
-        val before = hold
-        hold = hold.on(result.toAnswer(askedAt), clock.now(), timing)
-        logChange(before, hold)
-    }
-
-    private suspend fun acquire(): LeaseResult? {
-        if (!settings.contends()) return null
-        return platform.acquireLease(lease, settings.holder, timing.timeToLive)
-    }
-
-    private fun logChange(before: LeaseHold, after: LeaseHold) {
-        val old = (before as? LeaseHold.Held)?.fencing
-        val new = (after as? LeaseHold.Held)?.fencing
-        when {
-            old == new -> Unit
-
-            new == null -> logWarning("capacity-lease-lost") { "lease" to lease }
-
-            else ->
-                logEvent("capacity-lease-held") {
-                    "lease" to lease
-                    "fencing" to new
-                }
-        }
-    }
-
-    private fun LeaseResult.toAnswer(askedAt: MonotonicTime): LeaseAnswer = when (this) {
-        is LeaseResult.Held -> LeaseAnswer.Granted(askedAt, fencing)
-        is LeaseResult.HeldByOther -> LeaseAnswer.Refused(askedAt)
-        is LeaseResult.Unclear -> LeaseAnswer.Unclear(askedAt)
+        lease.keep(eligible = lease.isHeld || settings.contends())
     }
 
     public companion object {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
@@ -15,31 +15,24 @@
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.decisions.configuration.targetsFor
-import org.sapphirelever.decisions.lease.LeaseAction
-import org.sapphirelever.decisions.lease.LeaseEvent
-import org.sapphirelever.decisions.lease.LeaseState
-import org.sapphirelever.decisions.lease.on
 import org.sapphirelever.decisions.membership.readerCandidates
 import org.sapphirelever.decisions.routing.Target
-import org.sapphirelever.platform.LeaseResult
 import org.sapphirelever.platform.ListedHost
 import org.sapphirelever.platform.Platform
-import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.lease.LeaseHolder
 import org.sapphirelever.runtime.peer.PeerProtocol
 
 /** Reader of the platform for the data centre of this host, while it holds the lease. */
 public class ElectedReader(private val platform: Platform, private val protocol: PeerProtocol) {
-    private val lease = StateCell(LeaseState())
     private val clock = protocol.state.clock
     private val own = protocol.own
-    private val holder = own.id.incarnation.value
-    private val name = "sapphirelever/reader/${own.dataCentre}"
+    private val lease =
+        LeaseHolder(platform, "$LEASE_PREFIX${own.dataCentre}", own.id.incarnation.value, clock)
 
     /** Contends for the lease, if this host is one of the two candidates, and renews it. */
     public suspend fun elect() {
         while (true) {
-            val now = clock.now()
-            lease.decide { it.on(LeaseEvent.Tick(now, eligible())) }.forEach { carryOut(it) }
+            lease.keep(eligible())
             delay(POLL)
         }
     }
@@ -62,7 +55,7 @@
     /** Reads the host list once a second while the lease is held. */
     public suspend fun readHosts() {
         whileHolding {
-            val fencing = lease.value.held?.fencing
+            val fencing = lease.fencing
             val hosts = platform.hosts()
             if (hosts != null && fencing != null && mayAct()) {
                 val targets = targetsFor(own.dataCentre, hosts.map { it.toTarget() })
@@ -74,8 +67,7 @@
 
     /** Gives the lease up at a planned stop, so that the other candidate need not wait. */
     public suspend fun release() {
-        val now = clock.now()
-        lease.decide { it.on(LeaseEvent.Tick(now, eligible = false)) }.forEach { carryOut(it) }
+        lease.release()
     }
 
     private fun eligible(): Boolean {
@@ -88,29 +80,10 @@
         while (true) if (mayAct()) act() else delay(POLL)
     }
 
-    private fun mayAct(): Boolean = lease.value.mayAct(clock.now())
+    private fun mayAct(): Boolean = lease.fencing != null
 
     private fun remaining(): Duration =
-        (lease.value.actUntil ?: MonotonicTime.ZERO).minus(clock.now()).coerceAtLeast(POLL)
-
-    private suspend fun carryOut(action: LeaseAction) {
-        val terms = lease.value.terms
-        val sentAt = clock.now()
-        val result = when (action) {
-            LeaseAction.Acquire -> platform.acquireLease(name, holder, terms.timeToLive)
-
-            is LeaseAction.Renew ->
-                platform.renewLease(name, holder, action.fencing, terms.timeToLive)
-
-            is LeaseAction.Release -> return platform.releaseLease(name, holder, action.fencing)
-        }
-        val event = when (result) {
-            is LeaseResult.Held -> LeaseEvent.Granted(result.fencing, sentAt)
-            is LeaseResult.HeldByOther -> LeaseEvent.HeldByOther
-            is LeaseResult.Unclear -> LeaseEvent.Unclear
-        }
-        lease.decide { it.on(event) }
-    }
+        (lease.actUntil ?: MonotonicTime.ZERO).minus(clock.now()).coerceAtLeast(POLL)
 
     private fun ListedHost.toTarget(): Target = Target(
         id = TargetId(id),
@@ -121,6 +94,8 @@
     )
 
     private companion object {
+        /** Lease of the reader, followed by the name of its data centre. */
+        const val LEASE_PREFIX = "sapphirelever/reader/"
         val WATCH_WAIT = 20.seconds
         val READ_INTERVAL = 1.seconds
         val POLL = 500.milliseconds
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/lease/LeaseHolder.kt
@@ -0,0 +1,96 @@
+/*
+ * One lease of the platform as one process holds it: it carries out the decisions of
+ * decisions.lease and tells its users whether they may act.
+ */
+package org.sapphirelever.runtime.lease
+
+import org.sapphirelever.core.FencingNumber
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.decisions.lease.LeaseAction
+import org.sapphirelever.decisions.lease.LeaseEvent
+import org.sapphirelever.decisions.lease.LeaseState
+import org.sapphirelever.decisions.lease.LeaseTerms
+import org.sapphirelever.decisions.lease.on
+import org.sapphirelever.platform.LeaseResult
+import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.log.logWarning
+
+/** Holds the lease [name] for [holder], whose name is unique among all processes. */
+internal class LeaseHolder(
+    private val platform: Platform,
+    private val name: String,
+    private val holder: String,
+    private val clock: MonotonicClock,
+    terms: LeaseTerms = LeaseTerms()
+) {
+    private val cell = StateCell(LeaseState(terms))
+
+    @Volatile
+    private var released = false
+
+    /**
+     * Fencing number for an act at this moment, or null if this process may not act. A renewal that
+     * was in flight during the release permits nothing.
+     */
+    val fencing: FencingNumber?
+        get() = cell.value.fencingFor(clock.now()).takeUnless { released }
+
+    /** Moment at which the holder stops acting, or null if it holds no lease. */
+    val actUntil: MonotonicTime? get() = cell.value.actUntil
+
+    /** Whether the lease has not reached its end, by the clock of this process. */
+    val isHeld: Boolean get() = cell.value.isHeld(clock.now())
+
+    /** Makes the call that is due; a process that is not [eligible] gives the lease up. */
+    suspend fun keep(eligible: Boolean) {
+        if (!released) tick(eligible)
+    }
+
+    /** Gives the lease up at a planned stop and does not ask for it again. */
+    suspend fun release() {
+        released = true
+        tick(eligible = false)
+    }
+
+    private suspend fun tick(eligible: Boolean) {
+        val tick = LeaseEvent.Tick(clock.now(), eligible)
+        val before = cell.value.held?.fencing
+        cell.decide { it.on(tick) }.forEach { carryOut(it) }
+        logChange(before, cell.value.held?.fencing)
+    }
+
+    private suspend fun carryOut(action: LeaseAction) {
+        val timeToLive = cell.value.terms.timeToLive
+        val sentAt = clock.now()
+        val result = when (action) {
+            LeaseAction.Acquire -> platform.acquireLease(name, holder, timeToLive)
+            is LeaseAction.Renew -> platform.renewLease(name, holder, action.fencing, timeToLive)
+            is LeaseAction.Release -> return platform.releaseLease(name, holder, action.fencing)
+        }
+        val event = when (result) {
+            is LeaseResult.Held -> LeaseEvent.Granted(result.fencing, sentAt, clock.now())
+            is LeaseResult.HeldByOther -> LeaseEvent.HeldByOther
+            is LeaseResult.Unclear -> LeaseEvent.Unclear
+        }
+        cell.decide { it.on(event) }
+    }
+
+    private fun logChange(before: FencingNumber?, after: FencingNumber?) {
+        when {
+            before == after -> Unit
+
+            after != null ->
+                logEvent("lease-held") {
+                    "lease" to name
+                    "fencing" to after
+                }
+
+            released -> logEvent("lease-released") { "lease" to name }
+
+            else -> logWarning("lease-lost") { "lease" to name }
+        }
+    }
+}
