Use one fake of the platform in the tests of runtime

Cause: FakePlatform and FixedPlatform both implemented Platform for tests.

Change: FakePlatform takes a first value; the tests of a running host use it with one configuration and one target of each service.

Ruled out: merging the platform inside CapacityControllerTest, which is one paused process with the real state of the stand-in behind it.

Conclusion: one fake; no check is dropped.

--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/feed/FakePlatform.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/feed/FakePlatform.kt
@@ -17,8 +17,11 @@
 enum class SwapFault { NONE, REPLY_LOST, NOT_DONE_AND_REPLY_LOST, REFUSED }
 
 /** Platform in memory that loses replies, is down or is slow as a test asks. */
-class FakePlatform(private val delayBeforeCalls: Duration = Duration.ZERO) : Platform {
-    private val stored = MutableStateFlow(StoredValue("", 0))
+class FakePlatform(
+    private val delayBeforeCalls: Duration = Duration.ZERO,
+    initial: StoredValue = StoredValue("", 0)
+) : Platform {
+    private val stored = MutableStateFlow(initial)
     private val leases = mutableMapOf<String, Pair<String, Long>>()
     private var fencing = 0L
     val faults = ArrayDeque<SwapFault>()
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
@@ -16,7 +16,6 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -24,7 +23,6 @@
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.ExitCode
-import org.sapphirelever.core.FencingNumber
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.Incarnation
 import org.sapphirelever.core.resource.ServiceKind
@@ -32,11 +30,9 @@
 import org.sapphirelever.decisions.attempt.AnswerIdentity
 import org.sapphirelever.decisions.attempt.AttemptResult
 import org.sapphirelever.decisions.attempt.StageAnswer
-import org.sapphirelever.platform.LeaseResult
 import org.sapphirelever.platform.ListedHost
-import org.sapphirelever.platform.Platform
 import org.sapphirelever.platform.StoredValue
-import org.sapphirelever.platform.WriteResult
+import org.sapphirelever.runtime.feed.FakePlatform
 import org.sapphirelever.runtime.target.CallResult
 import org.sapphirelever.runtime.target.TargetCall
 import org.sapphirelever.runtime.target.TargetClient
@@ -44,9 +40,9 @@
 import org.sapphirelever.wire.MessageJson
 import org.sapphirelever.wire.toMessage
 
-/** A platform that holds one configuration and one target, and accepts no write. */
-internal object FixedPlatform : Platform {
-    private val document =
+/** A platform that holds one configuration and one target of each service. */
+private fun platformWithTargets(): FakePlatform {
+    val document =
         configuration {
             service("pool", ServiceKind.PLAIN)
             service("register", ServiceKind.PLAIN, idempotent = false)
@@ -57,34 +53,12 @@
                 stage("c", "register")
             }
         }
-    private val stored = StoredValue(MessageJson.encodeToString(document.toMessage()), 1)
-
-    override suspend fun read(key: String): StoredValue = stored
-
-    override suspend fun compareAndSwap(key: String, expected: Long, value: String): WriteResult =
-        WriteResult.Unavailable("fixed")
-
-    override suspend fun watch(key: String, after: Long, wait: Duration): StoredValue? =
-        if (after == 0L) stored else awaitCancellation()
-
-    override suspend fun acquireLease(
-        name: String,
-        holder: String,
-        timeToLive: Duration
-    ): LeaseResult = LeaseResult.Held(FencingNumber(1))
-
-    override suspend fun renewLease(
-        name: String,
-        holder: String,
-        fencing: FencingNumber,
-        timeToLive: Duration
-    ): LeaseResult = LeaseResult.Held(FencingNumber(1))
-
-    override suspend fun releaseLease(name: String, holder: String, fencing: FencingNumber): Unit =
-        Unit
-
-    override suspend fun hosts(): List<ListedHost> =
-        listOf("pool", "register").map { ListedHost(it, it, "here", "127.0.0.1", 1, leaving = false) }
+    val stored = StoredValue(MessageJson.encodeToString(document.toMessage()), 1)
+    return FakePlatform(initial = stored).apply {
+        hosts = listOf("pool", "register").map {
+            ListedHost(it, it, "here", "127.0.0.1", 1, leaving = false)
+        }
+    }
 }
 
 /** Answers each call with its input; a call whose input contains `hold` waits for [released]. */
@@ -121,7 +95,7 @@
             balancerDelay = balancerDelay,
             bodyLimit = BODY_LIMIT
         )
-    private val host = EntryHost(settings, FixedPlatform, targets, stopSteps = steps)
+    private val host = EntryHost(settings, platformWithTargets(), targets, stopSteps = steps)
 
     val exit: Deferred<ExitCode> = scope.async(Dispatchers.Default) { host.run() }
 
