Import names and move a forwarder of tests out of the main code

Cause: five fully qualified names stood in code, and NoKeyForwarder was public main code that only RequestRoutesTest used.

Change: the names are imported; KeyForwarder is a fun interface, and the test gives a lambda in place of the object.

Ruled out: a second file of test fakes for one lambda.

Conclusion: no behaviour changes.

--- a/core/src/main/kotlin/org/sapphirelever/core/resource/Validation.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/resource/Validation.kt
@@ -3,6 +3,7 @@
  */
 package org.sapphirelever.core.resource
 
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlinx.collections.immutable.PersistentList
@@ -30,8 +31,8 @@
     public val WEIGHT: IntRange = 1..1000
     public val REQUESTS_PER_SECOND: IntRange = 0..1_000_000
     public val MAXIMUM_TOKENS: IntRange = 0..32_768
-    public val DEADLINE_MINIMUM: kotlin.time.Duration = 10.milliseconds
-    public val DEADLINE_MAXIMUM: kotlin.time.Duration = 10.minutes
+    public val DEADLINE_MINIMUM: Duration = 10.milliseconds
+    public val DEADLINE_MAXIMUM: Duration = 10.minutes
     public val NAME: Regex = Regex("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/keys/KeyForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/keys/KeyForwarding.kt
@@ -26,7 +26,7 @@
 }
 
 /** Sends requests to the owners of their keys. */
-public interface KeyForwarder {
+public fun interface KeyForwarder {
     public suspend fun forward(
         owner: KeyOwner,
         request: RequestMessage,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/keys/KeyedRequests.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/keys/KeyedRequests.kt
@@ -220,12 +220,3 @@
         const val NOT_RUN = "not-run"
     }
 }
-
-/** Stands in for the links to other hosts where there are none: every other owner is gone. */
-public object NoKeyForwarder : KeyForwarder {
-    override suspend fun forward(
-        owner: KeyOwner,
-        request: RequestMessage,
-        remaining: Duration
-    ): ForwardResult = ForwardResult.OwnerGone
-}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerLinks.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerLinks.kt
@@ -8,6 +8,7 @@
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.aSocket
 import java.io.IOException
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentSetOf
@@ -187,7 +188,7 @@
 
     public companion object {
         /** A connection that brings nothing for three heartbeats is closed. */
-        public val SILENCE: kotlin.time.Duration = 6.seconds
+        public val SILENCE: Duration = 6.seconds
         private val LEAVING_LIMIT = 1.seconds
         private val TICK = 500.milliseconds
 
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/request/RequestExecutorTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/request/RequestExecutorTest.kt
@@ -42,6 +42,7 @@
 import org.sapphirelever.decisions.attempt.StageAnswer
 import org.sapphirelever.decisions.retry.RetryBudget
 import org.sapphirelever.decisions.retry.StageKey
+import org.sapphirelever.decisions.routing.RoutingRequest
 import org.sapphirelever.decisions.routing.RoutingState
 import org.sapphirelever.decisions.routing.Target
 import org.sapphirelever.decisions.routing.TargetPolicy
@@ -283,7 +284,7 @@
 
                 override fun choose(
                     state: RoutingState,
-                    request: org.sapphirelever.decisions.routing.RoutingRequest,
+                    request: RoutingRequest,
                     now: MonotonicTime,
                     random: Random
                 ): TargetId? = state.targets.keys.sortedBy { it.value }.first {
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/request/RequestRoutesTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/request/RequestRoutesTest.kt
@@ -27,9 +27,10 @@
 import org.sapphirelever.core.Incarnation
 import org.sapphirelever.core.SapphireleverException
 import org.sapphirelever.core.SystemMonotonicClock
+import org.sapphirelever.runtime.keys.ForwardResult
+import org.sapphirelever.runtime.keys.KeyForwarder
 import org.sapphirelever.runtime.keys.KeyOwner
 import org.sapphirelever.runtime.keys.KeyedRequests
-import org.sapphirelever.runtime.keys.NoKeyForwarder
 import org.sapphirelever.runtime.keys.RequestRunner
 import org.sapphirelever.wire.KeyMessage
 import org.sapphirelever.wire.MessageJson
@@ -61,8 +62,9 @@
             }
         }
     private val owner = KeyOwner(Incarnation("i"), Endpoint("127.0.0.1", 1))
+    private val forwarder = KeyForwarder { _, _, _ -> ForwardResult.OwnerGone }
     private val keyed =
-        KeyedRequests(HostId("h"), owner, NoKeyForwarder, runner, SystemMonotonicClock, Random(1))
+        KeyedRequests(HostId("h"), owner, forwarder, runner, SystemMonotonicClock, Random(1))
     private val routes = RequestRoutes(BODY_LIMIT, runner, keyed, Explanations())
     private val server: EmbeddedServer<*, *> =
         embeddedServer(CIO, port = 0, host = "127.0.0.1") {
--- a/standins/src/main/kotlin/org/sapphirelever/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/sapphirelever/standins/EngineStandIn.kt
@@ -4,6 +4,7 @@
  */
 package org.sapphirelever.standins
 
+import io.ktor.server.routing.Routing
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
@@ -148,7 +149,7 @@
         override fun refusal(): String? =
             if (state.value.actual.model.isEmpty()) "unsupported" else null
 
-        override fun io.ktor.server.routing.Routing.install(base: TargetBase) {
+        override fun Routing.install(base: TargetBase) {
             engineRoutes(this@EngineStandIn, settings, base)
         }
     }
