Build the identity of an answer once and narrow visibility

Cause: the answers of a run and of a stream built the same identity in two places; three functions were public without a user outside runtime; a test wrote a qualified name.

Change: answerIdentity in CallProgress; callGate, healthRoutes and needsKey are internal; StreamingCallTest imports IOException.

Conclusion: no behaviour changes.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/CallGate.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/CallGate.kt
@@ -13,7 +13,7 @@
 import org.sapphirelever.runtime.http.answer
 
 /** Routes the calls of the front end through [shutdown]. It precedes all other routes. */
-public fun callGate(shutdown: GracefulShutdown): Routes = Routes {
+internal fun callGate(shutdown: GracefulShutdown): Routes = Routes {
     application.intercept(ApplicationCallPipeline.Plugins) {
         val path = call.request.path()
         if (!isWork(path)) return@intercept proceed()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
@@ -141,7 +141,7 @@
 }
 
 /** Routes that the balancer asks: liveness and readiness. */
-public fun healthRoutes(ready: () -> Boolean): Routes = Routes {
+internal fun healthRoutes(ready: () -> Boolean): Routes = Routes {
     get("/healthz") { call.respondText("up\n") }
     get("/readyz") {
         if (ready()) {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestCheck.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/request/RequestCheck.kt
@@ -51,7 +51,7 @@
 }
 
 /** Whether a stage of this pipeline must not repeat. */
-public fun Pipeline.needsKey(configuration: Configuration): Boolean =
+internal fun Pipeline.needsKey(configuration: Configuration): Boolean =
     stages.any { configuration.services[it.service]?.idempotent == false }
 
 private fun priorityOf(message: RequestMessage): Priority? {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/target/CallProgress.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/target/CallProgress.kt
@@ -121,22 +121,18 @@
     key = key
 )
 
-internal fun RunAnswerMessage.toAnswer(): StageAnswer = StageAnswer(
-    identity =
-        AnswerIdentity(
-            AttemptId(RequestId(request), StageName(stage), attempt),
-            Incarnation(incarnation)
-        ),
-    output = output,
-    tokens = tokens
-)
-
-internal fun StreamDoneMessage.toAnswer(output: String): StageAnswer = StageAnswer(
-    identity =
-        AnswerIdentity(
-            AttemptId(RequestId(request), StageName(stage), attempt),
-            Incarnation(incarnation)
-        ),
-    output = output,
-    tokens = tokens
+internal fun RunAnswerMessage.toAnswer(): StageAnswer =
+    StageAnswer(answerIdentity(request, stage, attempt, incarnation), output, tokens)
+
+internal fun StreamDoneMessage.toAnswer(output: String): StageAnswer =
+    StageAnswer(answerIdentity(request, stage, attempt, incarnation), output, tokens)
+
+private fun answerIdentity(
+    request: String,
+    stage: String,
+    attempt: Int,
+    incarnation: String
+): AnswerIdentity = AnswerIdentity(
+    AttemptId(RequestId(request), StageName(stage), attempt),
+    Incarnation(incarnation)
 )
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
@@ -13,6 +13,7 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
 import io.ktor.utils.io.writeStringUtf8
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -257,7 +258,7 @@
 
                     Act.Silence -> awaitCancellation()
 
-                    Act.Break -> throw java.io.IOException("broken by the test")
+                    Act.Break -> throw IOException("broken by the test")
 
                     is Act.Status -> error("a status stands alone")
                 }
