Run engine stand-ins as engines, with limits and faults of all stand-ins as settings

Cause: engine-standin ran a pool stand-in, which has no /v1/stream, so that the host's stream calls failed: in bin/demo 381 of 381 requests ended with target-failed. watch followed a stream of lines, but the route answers one revision for each call.

--- a/cli/src/main/kotlin/org/sapphirelever/cli/Main.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/Main.kt
@@ -35,7 +35,8 @@
         RequestCommand,
         ExplainCommand,
         LoadCommand,
-        ReportCommand
+        ReportCommand,
+        ExperimentCommand
     )
 
 /** Runs the program; [environment] and the streams are parameters for the sake of tests. */
--- a/cli/src/main/kotlin/org/sapphirelever/cli/OperatorClient.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/OperatorClient.kt
@@ -7,18 +7,14 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.plugins.HttpTimeout
-import io.ktor.client.plugins.timeout
-import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.request
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsChannel
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpMethod
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
-import io.ktor.utils.io.readLine
 import java.io.Closeable
 import java.io.IOException
 import kotlin.time.Duration
@@ -74,18 +70,6 @@
             }.bodyAsText()
     }
 
-    /** Passes each line of the reply to [line] until the host ends it. */
-    public suspend fun follow(path: String, line: (String) -> Unit): Unit = reaching {
-        client
-            .prepareRequest("http://$endpoint$path") {
-                timeout { requestTimeoutMillis = Long.MAX_VALUE }
-            }.execute { response ->
-                response.requireSuccess()
-                val channel = response.bodyAsChannel()
-                while (true) line(channel.readLine() ?: break)
-            }
-    }
-
     override fun close() {
         client.close()
     }
--- a/cli/src/main/kotlin/org/sapphirelever/cli/ResourceCommands.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ResourceCommands.kt
@@ -38,6 +38,12 @@
         0L,
         "print only later revisions"
     )
+private val COUNT =
+    optional(
+        "count",
+        NumberType(1L..Long.MAX_VALUE, "revisions"),
+        "end after this many revisions; without it, only a signal ends the watch"
+    )
 
 /** Prints one resource. */
 public object GetCommand : Command {
@@ -107,14 +113,28 @@
 public object WatchCommand : Command {
     override val name: String get() = "watch"
     override val summary: String get() = "Prints each revision as it takes effect on the host."
-    override val settings: SettingGroup = CLIENT_SETTINGS + settings { +AFTER }
+    override val settings: SettingGroup =
+        CLIENT_SETTINGS +
+            settings {
+                +AFTER
+                +COUNT
+            }
 
-    override suspend fun run(invocation: Invocation): ExitCode {
-        val path = "/v1/resources/watch?after=${invocation.values[AFTER]}"
-        invocation.withClient { client ->
-            client.follow(path) { line -> if (line.isNotBlank()) invocation.output.println(line) }
+    override suspend fun run(invocation: Invocation): ExitCode = invocation.withClient { client ->
+        val values = invocation.values
+        // The host answers 204 after this time; the call limit must not strike first.
+        val wait = (values[CALL_LIMIT] / 2).inWholeMilliseconds
+        var after = values[AFTER]
+        var left = values.find(COUNT) ?: -1
+        while (left != 0L) {
+            val path = "/v1/resources/watch?after=$after&waitMillis=$wait"
+            val reply = client.call(HttpMethod.Get, path)
+            if (reply.isEmpty()) continue
+            invocation.print(reply)
+            after = MessageJson.decodeFromString<ConfigurationMessage>(reply).revision
+            left--
         }
-        return ExitCode.SUCCESS
+        ExitCode.SUCCESS
     }
 }
 
--- a/cli/src/main/kotlin/org/sapphirelever/cli/StandInCommands.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/StandInCommands.kt
@@ -4,74 +4,34 @@
  */
 package org.sapphirelever.cli
 
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.microseconds
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.ExitCode
-import org.sapphirelever.core.settings.AddressType
-import org.sapphirelever.core.settings.ListType
-import org.sapphirelever.core.settings.MillisecondsType
-import org.sapphirelever.core.settings.NameType
-import org.sapphirelever.core.settings.NumberType
-import org.sapphirelever.core.settings.PortType
 import org.sapphirelever.core.settings.SettingGroup
-import org.sapphirelever.core.settings.defaulted
-import org.sapphirelever.core.settings.required
-import org.sapphirelever.core.settings.settings
+import org.sapphirelever.core.settings.SettingValues
 import org.sapphirelever.runtime.host.onStopSignal
+import org.sapphirelever.standins.EngineStandIn
 import org.sapphirelever.standins.PlatformStandIn
 import org.sapphirelever.standins.PoolStandIn
-
-private const val GREATEST_SLOTS = 1024L
-private const val DEFAULT_SLOTS = 8L
-private const val GREATEST_MILLIS = 600_000L
-
-private val ADDRESS = defaulted("address", AddressType, LOOPBACK, "address to serve on")
-private val PORT = required("port", PortType, "port to serve on")
-private val PORTS = required("ports", ListType(PortType), "ports to serve on, one for each target")
-private val SERVICE = required("service", NameType, "name of the service")
-private val SLOTS =
-    defaulted(
-        "slots",
-        NumberType(1L..GREATEST_SLOTS, "calls"),
-        DEFAULT_SLOTS,
-        "calls that one target runs at once"
-    )
-private val SERVICE_TIME =
-    defaulted(
-        "service-time",
-        MillisecondsType(0L..GREATEST_MILLIS),
-        20.milliseconds,
-        "time that a call takes"
-    )
-
-/** Settings that all stand-ins of targets share; a kind of stand-in adds its own. */
-private val TARGET_SETTINGS =
-    settings {
-        +ADDRESS
-        +PORTS
-        +SERVICE
-        +SLOTS
-        +SERVICE_TIME
-    }
+import org.sapphirelever.standins.StandIn
 
 /** Runs the stand-in for the platform. */
 public object PlatformStandInCommand : Command {
     override val name: String get() = "platform-standin"
     override val summary: String get() = "Runs a stand-in for the platform."
-    override val settings: SettingGroup =
-        settings {
-            +ADDRESS
-            +PORT
-        }
+    override val settings: SettingGroup get() = PlatformOptions.ALL
 
     override suspend fun run(invocation: Invocation): ExitCode {
         val values = invocation.values
-        val endpoint = Endpoint(values[ADDRESS], values[PORT].toInt())
-        return untilSignal(listOf(suspend { PlatformStandIn(endpoint).run() }))
+        val endpoint = Endpoint(values[ADDRESS], values[PlatformOptions.port].toInt())
+        val limits = PlatformOptions.limits(values)
+        return untilSignal(
+            listOf(PlatformStandIn(endpoint, limits, PlatformOptions.faults(values)))
+        )
     }
 }
 
@@ -80,43 +40,52 @@
     override val name: String get() = "pool-standin"
     override val summary: String
         get() = "Runs stand-ins for targets of an encoder, retriever or reranker pool."
+    override val settings: SettingGroup get() = PoolOptions.ALL
+
+    override fun target(values: SettingValues, port: Long): StandIn = poolTarget(values, port)
 }
 
 /** Runs stand-ins for engines. */
 public object EngineStandInCommand : TargetStandInCommand() {
     override val name: String get() = "engine-standin"
     override val summary: String get() = "Runs stand-ins for model engines."
+    override val settings: SettingGroup get() = EngineOptions.ALL
+
+    override fun target(values: SettingValues, port: Long): StandIn =
+        EngineStandIn(EngineOptions.read(values, port))
 }
 
 /** Runs stand-ins for targets of a plain service. */
 public object ServiceStandInCommand : TargetStandInCommand() {
     override val name: String get() = "service-standin"
     override val summary: String get() = "Runs stand-ins for targets of a plain service."
+    override val settings: SettingGroup get() = PoolOptions.ALL
+
+    override fun target(values: SettingValues, port: Long): StandIn = poolTarget(values, port)
 }
 
 /** Runs one stand-in for each port. */
 public abstract class TargetStandInCommand : Command {
-    override val settings: SettingGroup get() = TARGET_SETTINGS
-
     override suspend fun run(invocation: Invocation): ExitCode {
-        val targets = invocation.values[PORTS].map { target(invocation, it.toInt()) }
-        return untilSignal(targets)
-    }
-
-    /** The stand-in on [port]; kinds of stand-ins with settings of their own override this. */
-    protected open fun target(invocation: Invocation, port: Int): suspend () -> Unit {
         val values = invocation.values
-        val slots = values[SLOTS].toInt()
-        val endpoint = Endpoint(values[ADDRESS], port)
-        return PoolStandIn(endpoint, values[SERVICE], slots, slots, values[SERVICE_TIME])::run
+        return untilSignal(values[TargetOptions.ports].map { target(values, it) })
     }
+
+    /** The stand-in on [port]. */
+    protected abstract fun target(values: SettingValues, port: Long): StandIn
 }
 
+private fun poolTarget(values: SettingValues, port: Long): StandIn = PoolStandIn(
+    TargetOptions.read(values, port),
+    values[PoolOptions.serviceTime],
+    values[PoolOptions.timePerCharacter].microseconds
+)
+
 /** Runs [servers] until the first signal. */
-private suspend fun untilSignal(servers: List<suspend () -> Unit>): ExitCode = coroutineScope {
+private suspend fun untilSignal(servers: List<StandIn>): ExitCode = coroutineScope {
     val signal = CompletableDeferred<Unit>()
     onStopSignal { signal.complete(Unit) }
-    servers.forEach { server -> launch { server() } }
+    servers.forEach { server -> launch { server.run() } }
     signal.await()
     coroutineContext.cancelChildren()
     ExitCode.SUCCESS
--- a/cli/src/test/kotlin/org/sapphirelever/cli/ProgramTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ProgramTest.kt
@@ -80,6 +80,18 @@
                 ExitCode.INVALID_RESOURCE,
                 listOf("$invalid:1 services[0].name", "$invalid:2 services[0].type")
             ),
+            ProgramCase(
+                "unknown experiment",
+                "experiment --names none",
+                ExitCode.INVALID_SETTING,
+                listOf("unknown experiment 'none'")
+            ),
+            ProgramCase(
+                "faults of a stand-in",
+                "engine-standin --ports 1 --service a --slow-factor -1",
+                ExitCode.INVALID_SETTING,
+                listOf("flag --slow-factor: '-1' is not valid")
+            ),
             ProgramCase("no file", "check /none", ExitCode.INVALID_RESOURCE, listOf("/none")),
             ProgramCase(
                 "no entry host",
