Show only recent reports of other hosts in the status

Cause: status showed the last heartbeat of each peer whatever its age. Links move while members join, so that in bin/demo entry-1 still showed revision 0 and ready=false for entry-2, from the time before the first apply, 20 s after entry-2 had become ready with revision 1. Change: a report carries the time at which it arrived and is shown for three heartbeats (6 s); a host without a recent report has no revision and no readiness in the status. Ruled out: the hosts themselves; each one's own line showed revision 1 and ready.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerProtocol.kt
@@ -179,7 +179,8 @@
             revision = Revision(gossip.revision),
             announced = Revision(gossip.announced),
             ready = gossip.ready,
-            tableHash = gossip.tableHash
+            tableHash = gossip.tableHash,
+            heardAt = state.clock.now()
         )
         state.reports.update { it.put(from, report) }
         marks.receive(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerState.kt
@@ -4,9 +4,12 @@
  */
 package org.sapphirelever.runtime.peer
 
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.Revision
 import org.sapphirelever.decisions.configuration.ConfigurationState
 import org.sapphirelever.decisions.configuration.TargetListState
@@ -15,13 +18,22 @@
 import org.sapphirelever.decisions.membership.MembershipState
 import org.sapphirelever.runtime.StateCell
 
-/** Last heartbeat of a peer. */
+/** Last heartbeat of a peer, received at [heardAt]. */
 public data class PeerReport(
     public val revision: Revision,
     public val announced: Revision,
     public val ready: Boolean,
-    public val tableHash: Long
-)
+    public val tableHash: Long,
+    public val heardAt: MonotonicTime
+) {
+    public companion object {
+        /**
+         * Age at which a report tells nothing of the present: three heartbeats. Links move as
+         * members join, and the last report of a peer that lost its link stays as it was.
+         */
+        public val VALIDITY: Duration = 6.seconds
+    }
+}
 
 /** Cells of one host; [own] is the record of its process. */
 public class PeerState(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/resource/Status.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/resource/Status.kt
@@ -12,7 +12,8 @@
 public fun PeerState.toStatus(): StatusMessage {
     val current = configuration.value
     val known = membership.value
-    val heard = reports.value
+    val now = clock.now()
+    val heard = reports.value.filterValues { now - it.heardAt < PeerReport.VALIDITY }
     val desired = heard.values.maxOfOrNull { it.revision } ?: current.greatestAnnounced
     return StatusMessage(
         host = known.own.host.value,
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
@@ -83,8 +83,9 @@
     override suspend fun releaseLease(name: String, holder: String, fencing: FencingNumber): Unit =
         Unit
 
-    override suspend fun hosts(): List<ListedHost> =
-        listOf("pool", "register").map { ListedHost(it, it, "here", "127.0.0.1", 1, leaving = false) }
+    override suspend fun hosts(): List<ListedHost> = listOf("pool", "register").map {
+        ListedHost(it, it, "here", "127.0.0.1", 1, leaving = false)
+    }
 }
 
 /** Answers each call with its input; a call whose input contains `hold` waits for [released]. */
