Bound remote member tables and let a starting fleet use a burst of updates

Cause: a heartbeat carried at most 8 member updates, so a start of all hosts took 24 copies of each record through 8 places, and every host kept records of all data centres.

Change: heartbeats may carry up to 256 updates (32 repairs) from a burst of 6,144 updates that grows again by 4 each second. A host keeps its own data centre in full and 8 contacts of each other one, chosen by rendezvous rank for that host. The table hash covers the own data centre. A record of a host that left carries the address of its successor, since other data centres need not know the successor. A seed in another data centre is linked until it has answered once. The slope program asks for convergence once in each step instead of after each message.

"converged" now means that each host knows its own data centre.

MergeLawsTest, PeerCodecTest, EntryHostsTest and MembershipConvergenceTest pass.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/Links.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/Links.kt
@@ -27,9 +27,7 @@
 
 private fun MembershipState.remoteLinks(): List<MemberId> =
     remoteDataCentres().mapNotNull { dataCentre ->
-        val candidates = live(dataCentre).map { it.id to rendezvousRank("remote/${own.id}", it.id) }
-            .sortedBy { it.second }
-            .map { it.first }
+        val candidates = live(dataCentre).map { it.id }.sortedBy { contactRank(it) }
         val turn = remoteTurns[dataCentre] ?: 0
         if (candidates.isEmpty()) null else candidates[turn % candidates.size]
     }
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/Member.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/Member.kt
@@ -40,6 +40,7 @@
  * @property http address for callers and operators
  * @property version raised by the member itself to refute a suspicion
  * @property successor process that took over the keys of a member that left
+ * @property successorPeer its address, since other data centres need not know the successor
  */
 public data class Member(
     public val id: MemberId,
@@ -49,7 +50,8 @@
     public val http: Endpoint,
     public val version: Int = 0,
     public val status: MemberStatus = MemberStatus.ALIVE,
-    public val successor: Incarnation? = null
+    public val successor: Incarnation? = null,
+    public val successorPeer: Endpoint? = null
 ) {
     /** Whether the member counts for links and elections. */
     public val isLive: Boolean get() = !status.isFinal
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipDecisions.kt
@@ -5,6 +5,7 @@
 package org.sapphirelever.decisions.membership
 
 import java.util.PriorityQueue
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
@@ -100,13 +101,22 @@
 
 private fun MembershipState.onTick(
     now: MonotonicTime
-): Decision<MembershipState, MembershipAction> = forgetFinal(now)
+): Decision<MembershipState, MembershipAction> = refillBurst(now)
+    .forgetFinal(now)
     .followLinks(now)
     .suspectSilent(now)
     .buryOverdue(now)
     .followLinks(now)
     .changesFrom(this)
 
+private fun MembershipState.refillBurst(now: MonotonicTime): MembershipState {
+    if (burstLeft >= terms.burst) return if (refilledAt == now) this else copy(refilledAt = now)
+    val seconds = (now - refilledAt).inWholeSeconds
+    if (seconds == 0L) return this
+    val grown = minOf(terms.burst.toLong(), burstLeft + seconds * terms.refill).toInt()
+    return copy(burstLeft = grown, refilledAt = refilledAt + seconds.seconds)
+}
+
 private fun MembershipState.forgetFinal(now: MonotonicTime): MembershipState {
     val expired = members.filterValues { !it.member.isLive && now - it.since > terms.tombstone }
     if (expired.isEmpty()) return this
@@ -115,7 +125,7 @@
 
 /** Starts the silence clock of new links and stops that of links that are no longer wanted. */
 private fun MembershipState.followLinks(now: MonotonicTime): MembershipState {
-    val inputs = LinkInputs(tableHash, own.id, remoteTurns)
+    val inputs = LinkInputs(tableHash, contactsHash, own.id, remoteTurns)
     if (inputs == linkedFor) return this
     val times = desiredLinks().associateWith { heard[it] ?: now }.toPersistentMap()
     return copy(heard = times, linkedFor = inputs)
@@ -153,7 +163,13 @@
 private fun MembershipState.onLeave(
     event: MembershipEvent.Leave
 ): Decision<MembershipState, MembershipAction> {
-    val left = own.copy(status = MemberStatus.LEFT, successor = event.successor)
+    val successor = members.values.map { it.member }
+        .firstOrNull { it.id.incarnation == event.successor }
+    val left = own.copy(
+        status = MemberStatus.LEFT,
+        successor = event.successor,
+        successorPeer = successor?.peer
+    )
     return copy(own = left).record(left, event.now).changesFrom(this)
 }
 
@@ -186,20 +202,31 @@
 /**
  * Chooses the updates of one heartbeat: news with the most spreads left first, then, if the table
  * of the peer differs, a few members in turn. A peer whose last heartbeat announced the same
- * table has all news. [tableDiffers] is null while the peer has not announced its table.
+ * table has all news. A [remote] peer has another table and takes few records of it as contacts. [tableDiffers] is null while the peer has not announced its table.
  */
 public fun MembershipState.composeUpdates(
-    tableDiffers: Boolean?
+    tableDiffers: Boolean?,
+    remote: Boolean = false
 ): Decision<MembershipState, HeartbeatUpdates> {
-    val news = mostSpreadsLeft(terms.updates)
+    if (tableDiffers == false) return Decision(this, persistentListOf(HeartbeatUpdates.NONE))
+    val burst = if (remote) 0 else minOf(terms.burstFrame, burstLeft)
+    val news = mostSpreadsLeft(maxOf(terms.updates, burst))
     val spread = news.fold(members) { table, entry ->
         table.put(entry.member.id, entry.copy(spreadsLeft = entry.spreadsLeft - 1))
     }
-    val room = if (tableDiffers == true) minOf(terms.repairs, terms.updates - news.size) else 0
-    val repairs = if (room > 0) nextForRepair(room) else emptyList()
-    val state = copy(members = spread, repairCursor = repairs.lastOrNull()?.id ?: repairCursor)
-    if (tableDiffers == false) return Decision(state, persistentListOf(HeartbeatUpdates.NONE))
-    val chosen = (news.map { it.member } + repairs).distinctBy { it.id }
+    val repairs = when {
+        remote -> 1
+        tableDiffers == true -> maxOf(terms.repairs, minOf(terms.burstRepairs, burst))
+        else -> 0
+    }
+    val room = minOf(repairs, maxOf(terms.updates, burst) - news.size)
+    val repaired = if (room > 0) nextForRepair(room) else emptyList()
+    val chosen = (news.map { it.member } + repaired).distinctBy { it.id }
+    val state = copy(
+        members = spread,
+        repairCursor = repaired.lastOrNull()?.id ?: repairCursor,
+        burstLeft = burstLeft - maxOf(0, chosen.size - terms.updates)
+    )
     return Decision(state, persistentListOf(HeartbeatUpdates(chosen.toPersistentList())))
 }
 
@@ -215,14 +242,16 @@
     return chosen.sortedWith(order)
 }
 
+/** The [count] members after the cursor in order of identity, and on from the first one. */
 private fun MembershipState.nextForRepair(count: Int): List<Member> {
-    val first = afterForRepair(repairCursor) ?: return emptyList()
-    return generateSequence(first) { afterForRepair(it) }
-        .take(count)
-        .map { members.getValue(it).member }
-        .toList()
+    if (count == 1) return listOfNotNull(afterForRepair()).map { members.getValue(it).member }
+    val inOrder = members.keys.sorted()
+    val start = inOrder.indexOfFirst { repairCursor == null || it > repairCursor }
+    val turned = if (start < 0) inOrder else inOrder.drop(start) + inOrder.take(start)
+    return turned.take(count).map { members.getValue(it).member }
 }
 
-/** The member after [cursor] in order of identity, or the first one after the last. */
-private fun MembershipState.afterForRepair(cursor: MemberId?): MemberId? =
-    members.keys.filter { cursor == null || it > cursor }.minOrNull() ?: members.keys.minOrNull()
+/** One pass without sorting, since each heartbeat to another data centre takes one member. */
+private fun MembershipState.afterForRepair(): MemberId? =
+    members.keys.filter { repairCursor == null || it > repairCursor }.minOrNull()
+        ?: members.keys.minOrNull()
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/MembershipState.kt
@@ -22,6 +22,12 @@
  * @property tombstone time for which a dead or left member is remembered
  * @property updates greatest number of updates on one heartbeat
  * @property repairs updates of those that a heartbeat may spend on repairing a differing table
+ * @property burst further updates that a host may send in all while many members are news, as
+ *   when a whole fleet starts: 24 copies of a table of 256 members
+ * @property burstFrame greatest number of updates on one heartbeat within the burst
+ * @property burstRepairs updates within the burst that repair a differing table
+ * @property refill updates by which the burst grows again each second
+ * @property contacts live members that are kept of each other data centre
  */
 public data class MembershipTerms(
     public val heartbeat: Duration = 2.seconds,
@@ -29,12 +35,18 @@
     public val deadAfter: Duration = 10.seconds,
     public val tombstone: Duration = 10.minutes,
     public val updates: Int = 8,
-    public val repairs: Int = 2
+    public val repairs: Int = 2,
+    public val burst: Int = 6_144,
+    public val burstFrame: Int = 256,
+    public val burstRepairs: Int = 32,
+    public val refill: Int = 4,
+    public val contacts: Int = 8
 )
 
 /** The links depend only on these, so they are computed again only when one of them changes. */
 public data class LinkInputs(
     public val tableHash: Long,
+    public val contactsHash: Long,
     public val own: MemberId,
     public val turns: PersistentMap<DataCentre, Int>
 )
@@ -55,9 +67,12 @@
  * @property unreachable data centres whose linked hosts are silent
  * @property remoteTurns number of the host that is linked in each other data centre
  * @property repairCursor last member sent for repair
- * @property tableHash hash of the records that are not final; equal tables have equal hashes.
- *   Final records are left out because each host forgets them at its own time
+ * @property tableHash hash of the records of the own data centre that are not final; equal tables
+ *   have equal hashes. Final records are left out because each host forgets them at its own time
+ * @property contactsHash the same for the contacts in other data centres, which differ by host
  * @property linkedFor what the present links were computed from
+ * @property burstLeft further updates that heartbeats may carry
+ * @property refilledAt time up to which [burstLeft] has grown
  */
 public data class MembershipState(
     public val own: Member,
@@ -68,7 +83,10 @@
     public val remoteTurns: PersistentMap<DataCentre, Int> = persistentMapOf(),
     public val repairCursor: MemberId? = null,
     public val tableHash: Long = 0,
-    public val linkedFor: LinkInputs? = null
+    public val contactsHash: Long = 0,
+    public val linkedFor: LinkInputs? = null,
+    public val burstLeft: Int = terms.burst,
+    public val refilledAt: MonotonicTime = MonotonicTime.ZERO
 ) {
     /** Members of [dataCentre] that are not known to be dead or gone. */
     public fun live(dataCentre: DataCentre): List<Member> = members.values
@@ -81,7 +99,7 @@
             own: Member,
             now: MonotonicTime,
             terms: MembershipTerms = MembershipTerms()
-        ): MembershipState = MembershipState(own, terms).record(own, now)
+        ): MembershipState = MembershipState(own, terms, refilledAt = now).record(own, now)
     }
 }
 
@@ -92,13 +110,51 @@
     passOn: Boolean = true
 ): MembershipState {
     val known = members[member.id]
+    if (known == null && !isWanted(member)) return this
     val merged = known?.member?.merge(member) ?: member
     if (merged == known?.member) return this
     val since = if (known?.member?.status == merged.status) known.since else now
-    return copy(
-        members = members.put(member.id, MemberEntry(merged, since, if (passOn) spreads() else 0)),
-        tableHash = tableHash - (known?.member?.tableShare() ?: 0) + merged.tableShare()
-    )
+    val entry = MemberEntry(merged, since, if (passOn) spreads() else 0)
+    return copy(members = members.put(member.id, entry))
+        .share(known?.member, merged)
+        .dropExcessContact(merged.dataCentre)
+}
+
+/**
+ * The own data centre is known in full. Of another one, a host keeps the contacts of lowest rank
+ * for itself, so that the table does not grow with the fleet, and who took over the keys of whom.
+ */
+private fun MembershipState.isWanted(member: Member): Boolean = when {
+    member.dataCentre == own.dataCentre || member.successor != null -> true
+    !member.isLive -> false
+    else -> isContact(member)
+}
+
+private fun MembershipState.isContact(member: Member): Boolean {
+    val contacts = live(member.dataCentre)
+    val rank = contactRank(member.id)
+    return contacts.size < terms.contacts || contacts.any { contactRank(it.id) > rank }
+}
+
+private fun MembershipState.dropExcessContact(dataCentre: DataCentre): MembershipState {
+    if (dataCentre == own.dataCentre) return this
+    val contacts = live(dataCentre)
+    if (contacts.size <= terms.contacts) return this
+    val last = contacts.maxBy { contactRank(it.id) }
+    return copy(members = members.remove(last.id), heard = heard.remove(last.id)).share(last, null)
+}
+
+/** Order in which this host uses [member] of another data centre; it differs by host. */
+internal fun MembershipState.contactRank(member: MemberId): Long =
+    rendezvousRank("remote/${own.id.incarnation}", member)
+
+private fun MembershipState.share(before: Member?, after: Member?): MembershipState {
+    val change = (after?.tableShare() ?: 0) - (before?.tableShare() ?: 0)
+    return if ((after ?: before)?.dataCentre == own.dataCentre) {
+        copy(tableHash = tableHash + change)
+    } else {
+        copy(contactsHash = contactsHash + change)
+    }
 }
 
 /** Share of one record in the hash, which is their sum and so does not depend on their order. */
--- a/load/src/main/kotlin/org/sapphirelever/load/slope/MembershipSlope.kt
+++ b/load/src/main/kotlin/org/sapphirelever/load/slope/MembershipSlope.kt
@@ -6,6 +6,7 @@
 import kotlin.math.log2
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -21,7 +22,8 @@
  *
  * @property bytesPerSecond sent by each host, with all tables equal
  * @property inForce time until a new revision, known to one host, is in force on all
- * @property converged time until every host knows all others after the last one started
+ * @property startBytes sent by each host from its start until a minute after convergence
+ * @property converged time until every host knows its data centre after the last one started
  */
 public data class SlopePoint(
     public val hosts: Int,
@@ -29,7 +31,8 @@
     public val messagesPerSecond: Double,
     public val inForce: Duration,
     public val converged: Duration,
-    public val greatestFrame: Int
+    public val greatestFrame: Int,
+    public val startBytes: Double
 )
 
 /** Runs [hosts] hosts in [dataCentres] data centres. */
@@ -41,16 +44,17 @@
         network.add("dc-${number % dataCentres}", delay = if (number == 0) Duration.ZERO else delay)
     }
     network.run(START_SPREAD)
-    val converged = network.run(LIMIT) {
-        network.all().all { it.protocol.state.membership.value.members.size == hosts }
+    val converged = network.until(CONVERGENCE_STEP) {
+        network.knowTheirDataCentres()
     }
     publish(network, 1)
     network.run(SETTLE)
+    val startBytes = network.traffic.bytes.toDouble() / hosts
     val before = network.traffic
     network.run(WINDOW)
     val spent = network.traffic - before
     publish(network, 2)
-    val inForce = network.run(LIMIT) { network.inForceEverywhere(Revision(2)) }
+    val inForce = network.until(ADOPTION_STEP) { network.inForceEverywhere(Revision(2)) }
     val hostSeconds = hosts * WINDOW.toDouble(DurationUnit.SECONDS)
     return SlopePoint(
         hosts = hosts,
@@ -58,10 +62,26 @@
         messagesPerSecond = spent.messages / hostSeconds,
         inForce = inForce,
         converged = converged,
-        greatestFrame = network.greatestFrame
+        greatestFrame = network.greatestFrame,
+        startBytes = startBytes
     )
 }
 
+private fun VirtualNetwork.knowTheirDataCentres(): Boolean {
+    val sizes = all().groupingBy { it.own.dataCentre }.eachCount()
+    return all().all { host ->
+        val known = host.protocol.state.membership.value.live(host.own.dataCentre)
+        known.size == sizes[host.own.dataCentre]
+    }
+}
+
+/** Asks [done] once in each [step], since asking all hosts after each message is quadratic. */
+private fun VirtualNetwork.until(step: Duration, done: () -> Boolean): Duration {
+    var passed = Duration.ZERO
+    while (passed < LIMIT && !done()) passed += run(step)
+    return passed
+}
+
 private fun publish(network: VirtualNetwork, revision: Long) {
     val organisation = Organisation(OrganisationName("organisation-$revision"))
     val host = network.all().first()
@@ -87,10 +107,13 @@
 
 /** Prints the table and the fit of bytes a second over the logarithm of the number of hosts. */
 public fun main(arguments: Array<String>) {
+    val dataCentres = System.getProperty("dataCentres")?.toInt() ?: DATA_CENTRES
     val sizes = arguments.map { it.toInt() }.ifEmpty { SIZES }
-    println("hosts  bytes/s/host  messages/s/host  in force ms  converged ms  greatest frame B")
+    println(
+        "hosts  bytes/s/host  messages/s/host  in force ms  converged ms  greatest frame B  start B/host"
+    )
     val points = sizes.map { size ->
-        measureSlope(size, DATA_CENTRES, SEED).also { println(it.row()) }
+        measureSlope(size, dataCentres, SEED).also { println(it.row()) }
     }
     if (points.size < 2) return
     val (start, slope) =
@@ -98,13 +121,14 @@
     println("bytes/s/host = %.1f + %.1f * log2(hosts)".format(start, slope))
 }
 
-private fun SlopePoint.row(): String = "%5d  %12.1f  %15.2f  %11d  %12d  %16d".format(
+private fun SlopePoint.row(): String = "%5d  %12.1f  %15.2f  %11d  %12d  %16d  %12.0f".format(
     hosts,
     bytesPerSecond,
     messagesPerSecond,
     inForce.inWholeMilliseconds,
     converged.inWholeMilliseconds,
-    greatestFrame
+    greatestFrame,
+    startBytes
 )
 
 private val SIZES = listOf(8, 32, 128, 512)
@@ -113,4 +137,6 @@
 private val START_SPREAD = 5.seconds
 private val SETTLE = 60.seconds
 private val WINDOW = 60.seconds
+private val CONVERGENCE_STEP = 100.milliseconds
+private val ADOPTION_STEP = 1.milliseconds
 private val LIMIT = 10.minutes
--- a/load/src/main/kotlin/org/sapphirelever/load/slope/VirtualNetwork.kt
+++ b/load/src/main/kotlin/org/sapphirelever/load/slope/VirtualNetwork.kt
@@ -19,6 +19,7 @@
 import org.sapphirelever.runtime.peer.PeerProtocol
 import org.sapphirelever.runtime.peer.PeerState
 import org.sapphirelever.wire.peer.FRAME_HEADER_BYTES
+import org.sapphirelever.wire.peer.HeartbeatReply
 import org.sapphirelever.wire.peer.Hello
 import org.sapphirelever.wire.peer.Leaving
 import org.sapphirelever.wire.peer.PeerMessage
@@ -40,6 +41,7 @@
     public var running: Boolean = true
     internal val outgoing: MutableMap<Endpoint, VirtualHost> = linkedMapOf()
     internal val incoming: MutableSet<VirtualHost> = linkedSetOf()
+    internal val greeted: MutableSet<Endpoint> = mutableSetOf()
     internal var toldNews: Long = 0
 
     public val own: Member get() = protocol.own
@@ -126,7 +128,8 @@
         val membership = host.protocol.state.membership.value
         val linked = membership.heard.keys.mapNotNull { membership.members[it]?.member?.peer }
         val known = membership.members.values.filter { it.member.isLive }.map { it.member.peer }
-        val unknown = host.seeds.map { it.own.peer }.filter { it !in known }
+        val told = if (membership.unreachable.isEmpty()) host.greeted else emptySet()
+        val unknown = host.seeds.map { it.own.peer }.filter { it !in known && it !in told }
         val wanted = (linked + unknown).toSet()
         (host.outgoing.keys - wanted).forEach { host.outgoing.remove(it)?.incoming?.remove(host) }
         (wanted - host.outgoing.keys).forEach { open(host, hosts[it.port - 1]) }
@@ -169,6 +172,8 @@
     private fun deliver(from: VirtualHost, to: VirtualHost, body: ByteArray) {
         if (!to.running) return
         val message = decodePeerMessage(body)
+        val remote = from.own.dataCentre != to.own.dataCentre
+        if (message is HeartbeatReply && remote) to.greeted.add(from.own.peer)
         val answers = to.protocol.receive(from.own.id, message)
         // The side that accepts a connection answers a hello with its own, which expects nothing.
         if (message is Hello && message.expected.isNotEmpty()) send(to, from, to.protocol.hello())
--- a/load/src/test/kotlin/org/sapphirelever/load/slope/MembershipConvergenceTest.kt
+++ b/load/src/test/kotlin/org/sapphirelever/load/slope/MembershipConvergenceTest.kt
@@ -136,4 +136,17 @@
             }
         )
     }
+
+    /** Guards against a start that takes longer than a few heartbeats, and tables of the fleet. */
+    @Test
+    fun `hosts that start together know their data centre, and a few contacts elsewhere`() {
+        val network = VirtualNetwork(Random(11))
+        repeat(80) { network.add("dc-${it % 2}") }
+        network.run(10.seconds)
+        network.all().forEach { host ->
+            val members = host.protocol.state.membership.value
+            assertEquals(40, members.live(host.own.dataCentre).size)
+            assertEquals(48, members.members.size)
+        }
+    }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerKeys.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerKeys.kt
@@ -67,11 +67,10 @@
 
     /** The process that answers for the keys of [owner]: itself, or its successor. */
     private fun holderOf(owner: KeyOwner): KeyOwner {
-        val members = protocol.state.membership.value.members.values.map { it.member }
-        val successor = members
-            .firstOrNull { it.id.incarnation == owner.incarnation }?.successor ?: return owner
-        val member = members.firstOrNull { it.id.incarnation == successor && it.isLive }
-        return member?.let { KeyOwner(it.id.incarnation, it.peer) } ?: owner
+        val left = protocol.state.membership.value.members.values.map { it.member }
+            .firstOrNull { it.id.incarnation == owner.incarnation }
+        val successor = left?.successor ?: return owner
+        return left.successorPeer?.let { KeyOwner(successor, it) } ?: owner
     }
 
     /** Opens a connection to exactly the process of [holder]. Nothing of a request is sent yet. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerLinks.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerLinks.kt
@@ -31,6 +31,7 @@
 import org.sapphirelever.runtime.supervision.ChildSet
 import org.sapphirelever.wire.peer.ForwardRequest
 import org.sapphirelever.wire.peer.ForwardedOutcome
+import org.sapphirelever.wire.peer.HeartbeatReply
 import org.sapphirelever.wire.peer.Hello
 import org.sapphirelever.wire.peer.KeyHandover
 import org.sapphirelever.wire.peer.KeyHandoverAccepted
@@ -51,6 +52,9 @@
     private val keys: () -> KeyRequests?
 ) {
     private val connections = StateCell(persistentSetOf<PeerConnection>())
+
+    /** Seeds of other data centres that have told what they know. */
+    private val greeted = StateCell(persistentSetOf<Endpoint>())
     private val desired = MutableStateFlow<Set<LinkKey>>(emptySet())
 
     /** Completes once a peer has told its revision; a starting host waits for it. */
@@ -104,7 +108,8 @@
         if (!membership.own.isLive) return desired.value
         val members = membership.heard.keys.mapNotNull { membership.members[it]?.member }
         val known = membership.members.values.map { it.member }.filter { it.isLive }.map { it.peer }
-        val unknownSeeds = seeds.filter { it !in known }
+        val told = if (membership.unreachable.isEmpty()) greeted.value else emptySet()
+        val unknownSeeds = seeds.filter { it !in known && it !in told }
         return members.filter { it.peer.port != 0 }.map { LinkKey(it.peer, it.id) }.toSet() +
             unknownSeeds.map { LinkKey(it, null) }
     }
@@ -119,7 +124,11 @@
                 throw IOException("${key.peer} is now process ${peer.incarnation}")
             }
             protocol.receive(peer, hello).forEach { connection.send(it) }
-            converse(connection, peer, beats = true)
+            converse(connection, peer, beats = true) {
+                if (hello.member.dataCentre != protocol.own.dataCentre.value) {
+                    greeted.update { it.add(key.peer) }
+                }
+            }
         }
     }
 
@@ -140,7 +149,12 @@
     }
 
     /** Runs one connection until it fails; the side that opened it sends the heartbeats. */
-    private suspend fun converse(connection: PeerConnection, peer: MemberId, beats: Boolean) {
+    private suspend fun converse(
+        connection: PeerConnection,
+        peer: MemberId,
+        beats: Boolean,
+        onReply: () -> Unit = {}
+    ) {
         connections.update { it.add(connection) }
         try {
             coroutineScope {
@@ -148,7 +162,11 @@
                 launch {
                     protocol.news.drop(1).collect { connection.send(protocol.heartbeat(peer, 0)) }
                 }
-                while (true) handle(connection, peer, connection.receive(SILENCE))
+                while (true) {
+                    val message = connection.receive(SILENCE)
+                    handle(connection, peer, message)
+                    if (message is HeartbeatReply) onReply()
+                }
             }
         } finally {
             connections.update { it.remove(connection) }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerProtocol.kt
@@ -71,7 +71,7 @@
 
     public fun hello(expected: Incarnation? = null): Hello = Hello(
         member = own.toMessage(),
-        knownMembers = state.membership.value.members.size,
+        knownMembers = knownMembers(),
         expected = expected?.value.orEmpty()
     )
 
@@ -138,11 +138,17 @@
         return emptyList()
     }
 
-    /** A host that knows less than half of the members is sent the whole table. */
+    private fun knownMembers(): Int = state.membership.value.live(own.dataCentre).size
+
+    /**
+     * A host that knows less than half of the members of its data centre is sent the whole table
+     * by a member of it, and one that knows only itself by every peer.
+     */
     private fun onHello(from: MemberId, hello: Hello): List<PeerMessage> {
         merge(from, listOf(hello.member.toMember()))
+        val enough = if (isLocal(from)) knownMembers() else LONELY_LIMIT
+        if (hello.knownMembers * 2 >= enough) return emptyList()
         val members = state.membership.value.members
-        if (hello.knownMembers * 2 >= members.size) return emptyList()
         return listOf(MemberTable(members.values.map { it.member.toMessage() }))
     }
 
@@ -151,8 +157,7 @@
 
     private fun gossip(to: MemberId): GossipMessage {
         val membership = state.membership.value
-        val differs = state.reports.value[to]?.let { it.tableHash != membership.tableHash }
-        val updates = state.membership.decide { it.composeUpdates(differs) }.single().members
+        val updates = updatesFor(to)
         val now = state.clock.now()
         val health = state.targets.decide { it.composeHealth() }
         val configuration = state.configuration.value
@@ -173,6 +178,22 @@
         )
     }
 
+    /** Peers of other data centres have another table and get a record in turn as contact. */
+    private fun updatesFor(to: MemberId): List<Member> {
+        val membership = state.membership.value
+        val decision = if (isLocal(to)) {
+            val differs = state.reports.value[to]?.let { it.tableHash != membership.tableHash }
+            state.membership.decide { it.composeUpdates(differs) }
+        } else {
+            state.membership.decide { it.composeUpdates(tableDiffers = true, remote = true) }
+        }
+        return decision.single().members
+    }
+
+    /** A peer that is not in the table is of another data centre. */
+    private fun isLocal(peer: MemberId): Boolean =
+        state.membership.value.members[peer]?.member?.dataCentre == own.dataCentre
+
     private fun onGossip(from: MemberId, gossip: GossipMessage): List<PeerMessage> {
         merge(from, gossip.members.map { it.toMember() })
         val report = PeerReport(
@@ -206,9 +227,7 @@
     private fun request(from: MemberId, gossip: GossipMessage): ConfigurationRequest? {
         val have = state.configuration.value.inForce.revision
         val version = state.targets.value.version
-        val sameDataCentre =
-            state.membership.value.members[from]?.member?.dataCentre == own.dataCentre
-        val targetsBehind = sameDataCentre && gossip.targets.toVersion() > version
+        val targetsBehind = isLocal(from) && gossip.targets.toVersion() > version
         if (!targetsBehind && !mayAsk(have, Revision(gossip.revision))) return null
         return ConfigurationRequest(have.value, version.toMessage())
     }
@@ -309,6 +328,9 @@
         /** Crash marks on one heartbeat. */
         const val MARKS = 8
 
+        /** Twice the members that a host must know to be sent no table by a remote peer. */
+        const val LONELY_LIMIT = 3
+
         /** Time after which another peer is asked for a revision that has not come. */
         val ASK_AGAIN = 1000.milliseconds
     }
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMapping.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMapping.kt
@@ -36,7 +36,8 @@
     http = http.toMessage(),
     version = version,
     status = status.ordinal,
-    successor = successor?.value
+    successor = successor?.value,
+    successorPeer = successorPeer?.toMessage()
 )
 
 /** The member; a status of a later version of the protocol reads as suspect. */
@@ -48,7 +49,8 @@
     http = http.toEndpoint(),
     version = version,
     status = MemberStatus.entries.getOrElse(status) { MemberStatus.SUSPECT },
-    successor = successor?.let(::Incarnation)
+    successor = successor?.let(::Incarnation),
+    successorPeer = successorPeer?.toEndpoint()
 )
 
 public fun Target.toMessage(): TargetMessage =
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMessage.kt
@@ -23,6 +23,7 @@
     const val SEVENTH = 7L
     const val EIGHTH = 8L
     const val NINTH = 9L
+    const val TENTH = 10L
 }
 
 /** A message on a connection between two entry hosts. */
@@ -45,7 +46,8 @@
     @CborLabel(FieldLabel.SIXTH) public val http: EndpointMessage,
     @CborLabel(FieldLabel.SEVENTH) public val version: Int = 0,
     @CborLabel(FieldLabel.EIGHTH) public val status: Int = 0,
-    @CborLabel(FieldLabel.NINTH) public val successor: String? = null
+    @CborLabel(FieldLabel.NINTH) public val successor: String? = null,
+    @CborLabel(FieldLabel.TENTH) public val successorPeer: EndpointMessage? = null
 )
 
 /** A report that a target is leaving or dead; [ageMillis] is the time since it was observed. */
@@ -90,7 +92,10 @@
     @CborLabel(FieldLabel.EIGHTH) public val health: List<TargetHealthMessage> = emptyList()
 )
 
-/** First message in each direction. [expected] names the process that the sender wants. */
+/**
+ * First message in each direction. [knownMembers] counts the sender's own data centre, and
+ * [expected] names the process that the sender wants.
+ */
 @Serializable
 @SerialName("hello")
 public data class Hello(
