Shrink a concurrency limit on fresh reports only

Cause: the limit of a host shrank once a round while the last reports of the targets showed a queue.

Change: only reports newer than the last decrease and at most 2 s old count, and at least 4 targets must have one. With steady limits the predicted wait may take half of the slack instead of a quarter.

Ruled out by a trace of one run: limits of the small services (they only grew) and ejected targets (0 to 2 for each host).

CongestionTest failed before with "limit 2.0 of 16".

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/DispatchTransitions.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/DispatchTransitions.kt
@@ -132,7 +132,8 @@
     val measured = if (answered) times.with(call.kind, finished.took / running.depth) else times
     val everywhere = routing.candidates(call.routing.copy(excluded = persistentSetOf()))
     val greatest = call.routing.slots.toDouble() * everywhere.size
-    val congested = routing.congested(everywhere)
+    val decreasedAt = services[call.service]?.limit?.decreasedAt
+    val congested = routing.congested(everywhere, decreasedAt, now)
     val round = times.of(call.kind).mean
     // The loser of a hedge is cancelled while its request goes on.
     val goesOn = answered || finished.end == CallEnd.CANCELLED
@@ -162,9 +163,19 @@
 /**
  * Whether the targets together queue more than [CONGESTED_SHARE] of their slots. A queue on one
  * target while another has free slots is a matter of choice, not of the limit.
+ *
+ * Only reports measured after the last decrease count. An older one does not show its effect, and
+ * a host with a small limit makes too few calls to replace it, so that its limit would fall on.
  */
-private fun RoutingState.congested(targets: List<Target>): Boolean {
-    val reports = targets.mapNotNull { statistics(it.id).report }
+private fun RoutingState.congested(
+    targets: List<Target>,
+    decreasedAt: MonotonicTime?,
+    now: MonotonicTime
+): Boolean {
+    val reports = targets.mapNotNull { statistics(it.id).report }.filter {
+        now - it.measuredAt < REPORT_LIFE && (decreasedAt == null || it.measuredAt > decreasedAt)
+    }
+    if (reports.size < minOf(targets.size, LEAST_REPORTS)) return false
     return reports.sumOf { it.queued } > reports.sumOf { it.slots } * CONGESTED_SHARE
 }
 
@@ -208,3 +219,9 @@
 
 /** Share of the slots of a service that may be queued before hosts send less. */
 private const val CONGESTED_SHARE = 0.25
+
+/** Reports that must agree, or all if there are fewer targets. */
+private const val LEAST_REPORTS = 4
+
+/** Age beyond which a report says nothing of the present queue; reports may be 1 s late. */
+private val REPORT_LIFE = 2.seconds
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/Dispatching.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/Dispatching.kt
@@ -42,7 +42,7 @@
     public val policy: TargetPolicy = ExpectedCompletionPolicy(),
     public val ejection: EjectionRules = EjectionRules(),
     public val longShare: Double = 0.5,
-    public val waitShare: Double = 0.25,
+    public val waitShare: Double = 0.5,
     public val queueLength: Int = 512,
     public val assumedHosts: Int = 8
 ) {
