Let age raise a whole priority, not one organisation over its equals

Cause: the rank by age came before the virtual start among calls of the same priority. Under overload the aged calls of an organisation above its share went before the fresh ones of one inside it.

Change: calls of one priority are compared by virtual start; age decides between priorities only.

The new case of FairQueueTest failed before.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/FairQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/FairQueue.kt
@@ -81,11 +81,19 @@
         )
     }
 
-    /** The next call at [now]; long ones only if [longPermitted]. */
+    /**
+     * The next call at [now]; long ones only if [longPermitted]. Age raises a whole priority over
+     * the others; among equals the virtual start alone decides. Otherwise the aged calls of an
+     * organisation above its share would go before the fresh ones of an organisation inside it.
+     */
     public fun next(now: MonotonicTime, longPermitted: Boolean): QueuedCall? = lanes.entries
         .filter { longPermitted || !it.key.long }
         .mapNotNull { it.value.first }
-        .minWithOrNull(compareBy({ it.rank(now) }, { it.start }, { it.call.id }))
+        .groupBy { it.call.priority to it.call.lane.started }
+        .values
+        .map { equals -> equals.minOf { it.rank(now) } to equals.minWith(BY_START) }
+        .minWithOrNull(compareBy<Pair<Int, QueuedCall>> { it.first }.thenBy(BY_START) { it.second })
+        ?.second
 
     /** The queue after [queued] was taken for service. */
     public fun take(queued: QueuedCall): FairQueue =
@@ -114,6 +122,8 @@
     public companion object {
         /** Waiting time that raises a call by one priority. */
         public val AGEING: Duration = 250.milliseconds
+
+        private val BY_START = compareBy<QueuedCall>({ it.start }, { it.call.id })
     }
 }
 
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/admission/FairQueueTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/admission/FairQueueTest.kt
@@ -44,6 +44,15 @@
         }
     }
 
+    @Test
+    fun `age gives an organisation no advantage over an equal that has used less`() {
+        val aged = List(100) { call("greedy") }
+        val later = start + 1.seconds
+        val queue = aged.fold(FairQueue()) { queue, call -> queue.add(call, start) }
+            .add(call("other"), later)
+        assertTrue(queue.drain(3, later).any { it.organisation.value == "other" })
+    }
+
     @Property(tries = 100, seed = "3")
     fun `organisations with work share by weight`(
         @ForAll @IntRange(min = 1, max = 8) weight: Int,
