Add the fault matrix over hosts in memory

Cause: no test crossed the faults of the design with the steps of a request. Change: module faults builds three entry hosts from the classes of the runtime, with fakes at the interfaces only, and checks R1 to R8 on records. MemoryPlatform shares the transitions of the platform stand-in. Ruled out: moving FakePlatform out of the runtime tests, since its leases never end.

--- /dev/null
+++ b/faults/src/test/kotlin/org/sapphirelever/faults/FaultMatrixTest.kt
@@ -0,0 +1,40 @@
+package org.sapphirelever.faults
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.runTest
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.MonotonicTime
+
+/** Guards the invariants R1 to R8 against each fault at each step of a request. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class FaultMatrixTest {
+    @Test
+    fun `the invariants hold in every cell`() {
+        val results = CELLS.associateWith(::resultOf)
+        val failed = results.filterValues { it is CellResult.Fail }
+        System.getenv("FAULT_MATRIX_REPORT")?.let { path ->
+            java.io.File(path).writeText(matrixReport(results, SEED))
+        }
+        val text = failed.entries.joinToString("\n") { (cell, result) -> "$cell: $result" }
+        assertTrue(failed.isEmpty(), "${failed.size} of ${results.size} cells:\n$text")
+        assertEquals((Fault.entries.size + PAIRS.size) * 18, results.size)
+    }
+
+    private fun resultOf(cell: Cell): CellResult {
+        var result: CellResult = CellResult.NotProved("the run did not end")
+        runTest {
+            val dispatcher = StandardTestDispatcher(testScheduler)
+            val clock = MonotonicClock { MonotonicTime(testScheduler.currentTime * 1_000_000) }
+            result = runCell(cell, clock, dispatcher, SEED).judge()
+        }
+        return result
+    }
+
+    private companion object {
+        const val SEED = 20_261_204
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/sapphirelever/standins/MemoryPlatform.kt
@@ -0,0 +1,98 @@
+/*
+ * The platform stand-in without HTTP, for runs on virtual time. It shares the transitions of the
+ * stand-in that serves over HTTP.
+ */
+package org.sapphirelever.standins
+
+import kotlin.time.Duration
+import kotlinx.coroutines.delay
+import org.sapphirelever.core.FencingNumber
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.decisions.Decision
+import org.sapphirelever.platform.LeaseRequestMessage
+import org.sapphirelever.platform.LeaseResult
+import org.sapphirelever.platform.ListedHost
+import org.sapphirelever.platform.Platform
+import org.sapphirelever.platform.StoredValue
+import org.sapphirelever.platform.WriteResult
+import org.sapphirelever.runtime.StateCell
+
+/** Platform in memory; [faults] applies to each later call. */
+public class MemoryPlatform(private val clock: MonotonicClock) : Platform {
+    private val state = StateCell(PlatformState())
+
+    @Volatile
+    public var faults: PlatformFaults = PlatformFaults()
+
+    @Volatile
+    private var lost = 0
+
+    /** Loses the replies of the next [count] writes, which take effect. */
+    public fun loseReplies(count: Int) {
+        lost = count
+    }
+
+    /** End of the lease that [holder] was last granted under [name], or null. */
+    public fun leaseEnd(name: String, holder: String): MonotonicTime? =
+        state.value.leases[name]?.takeIf { it.holder == holder }?.expires
+
+    override suspend fun read(key: String): StoredValue? = if (faults.outage) null else stored(key)
+
+    override suspend fun compareAndSwap(key: String, expected: Long, value: String): WriteResult {
+        if (faults.outage) return WriteResult.Unavailable("outage")
+        val reply = state.decide { it.onWrite(key, expected, value) }.single()
+        if (lost > 0) {
+            lost--
+            return WriteResult.Unclear("reply lost")
+        }
+        return when (reply) {
+            is PlatformReply.Written -> WriteResult.Written(reply.revision)
+            is PlatformReply.Conflict -> WriteResult.Conflict(reply.revision)
+            else -> WriteResult.Unavailable("refused")
+        }
+    }
+
+    override suspend fun watch(key: String, after: Long, wait: Duration): StoredValue? {
+        delay(wait)
+        return read(key)?.takeIf { it.revision > after }
+    }
+
+    override suspend fun acquireLease(
+        name: String,
+        holder: String,
+        timeToLive: Duration
+    ): LeaseResult = lease {
+        it.onAcquire(name, request(holder, timeToLive, FencingNumber(0)), clock.now())
+    }
+
+    override suspend fun renewLease(
+        name: String,
+        holder: String,
+        fencing: FencingNumber,
+        timeToLive: Duration
+    ): LeaseResult = lease { it.onRenew(name, request(holder, timeToLive, fencing), clock.now()) }
+
+    override suspend fun releaseLease(name: String, holder: String, fencing: FencingNumber) {
+        lease { it.onRelease(name, request(holder, Duration.ZERO, fencing), clock.now()) }
+    }
+
+    override suspend fun hosts(): List<ListedHost>? = if (faults.outage) null else emptyList()
+
+    private fun stored(key: String): StoredValue =
+        state.value.value(key).let { StoredValue(it.value, it.revision) }
+
+    private fun request(holder: String, timeToLive: Duration, fencing: FencingNumber) =
+        LeaseRequestMessage(holder, timeToLive.inWholeMilliseconds, fencing.value)
+
+    private fun lease(
+        transition: (PlatformState) -> Decision<PlatformState, PlatformReply>
+    ): LeaseResult {
+        if (faults.outage) return LeaseResult.Unclear("outage")
+        return when (val reply = state.decide(transition).single()) {
+            is PlatformReply.LeaseHeld -> LeaseResult.Held(FencingNumber(reply.lease.fencing))
+            is PlatformReply.LeaseRefused -> LeaseResult.HeldByOther(reply.lease.holder)
+            else -> LeaseResult.Unclear("refused")
+        }
+    }
+}
