Count a cell as proved only if something met its fault

Cause: a fault that nothing met, such as a crash after the call, passed. The host list lags for 30 s with two dead and two leaving targets, and engines belong to the data centre of their controller.

--- a/faults/src/main/kotlin/org/sapphirelever/faults/Engines.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/Engines.kt
@@ -3,6 +3,7 @@
  */
 package org.sapphirelever.faults
 
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.Endpoint
@@ -39,6 +40,14 @@
         engines.values.forEach { it.desired = it.desired.copy(role = "") }
     }
 
+    /** Each engine loses its model and has to load it again. */
+    fun unload() {
+        engines.values.forEach {
+            it.desired = EngineState("")
+            it.actual = it.desired
+        }
+    }
+
     /** An order of a holder long gone reaches each engine. */
     fun orderWithOldFencing() {
         engines.values.forEach { take(it, OrderMessage(0, EngineState(MODEL, role = "stale"))) }
@@ -66,6 +75,7 @@
                 )
             )
             if (delayedHolder === host) {
+                world.effects.add(Fault.F11)
                 world.network.launch { arriveLate(engine, message) }
                 delay(ORDER_DELAY)
                 return OrderResult.UNCLEAR
@@ -85,6 +95,7 @@
         engine.fencing = message.fencing
         if (engine.desired.model != message.desired.model) {
             engine.loadedAt = world.clock.now() + world.loadTime
+            if (world.loadTime > NORMAL_LOAD) world.effects.add(Fault.F19)
         }
         engine.desired = message.desired
         return OrderResult.TAKEN
@@ -92,6 +103,7 @@
 
     companion object {
         const val MODEL = "model"
+        val NORMAL_LOAD = 1.seconds
         private const val SLOTS = 8
         private val ORDER_DELAY = LEASE_PAUSE
     }
--- a/faults/src/main/kotlin/org/sapphirelever/faults/FaultActions.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/FaultActions.kt
@@ -18,29 +18,32 @@
 import org.sapphirelever.standins.PlatformFaults
 
 internal class FaultActions(private val world: World) {
+    private val actions: Map<Fault, (WorldHost, WorldTarget) -> Unit> = mapOf(
+        Fault.F1 to { host, _ -> killAndReplace(host) },
+        Fault.F2 to { host, _ -> host.pause(LEASE_PAUSE) },
+        Fault.F3 to { _, target -> kill(target) },
+        Fault.F4 to { _, target -> slow(target) },
+        Fault.F5 to { _, _ -> stageTargets().forEach { it.liesAboutLoad = true } },
+        Fault.F6 to { _, target -> target.silent = true },
+        Fault.F7 to { _, _ -> partition() },
+        Fault.F8 to { host, _ -> cutFromPlatform(host) },
+        Fault.F9 to { _, _ -> platformDown() },
+        Fault.F10 to { host, _ -> loseReply(host) },
+        Fault.F11 to { host, _ -> pauseHolder(host) },
+        Fault.F12 to { _, _ -> race() },
+        Fault.F13 to { _, _ -> poison() },
+        Fault.F14 to { host, _ -> repeat(BURST) { Callers(world).burst(host, it) } },
+        Fault.F15 to { host, _ -> cacheNews(host) },
+        Fault.F16 to { _, target -> target.crossed = true },
+        Fault.F17 to { _, target -> listLags(target) },
+        Fault.F18 to { _, _ -> world.engines.orderWithOldFencing() },
+        Fault.F19 to { _, _ -> slowLoads() },
+        Fault.F20 to { _, _ -> replaceAll() }
+    )
+
     fun apply(fault: Fault, host: WorldHost, target: WorldTarget) {
-        when (fault) {
-            Fault.F1 -> killAndReplace(host)
-            Fault.F2 -> host.pause(LEASE_PAUSE)
-            Fault.F3 -> kill(target)
-            Fault.F4 -> slow(target)
-            Fault.F5 -> stageTargets().forEach { it.liesAboutLoad = true }
-            Fault.F6 -> target.silent = true
-            Fault.F7 -> partition()
-            Fault.F8 -> cutFromPlatform(host)
-            Fault.F9 -> platformDown()
-            Fault.F10 -> loseReply(host)
-            Fault.F11 -> pauseHolder(host)
-            Fault.F12 -> race()
-            Fault.F13 -> poison()
-            Fault.F14 -> repeat(BURST) { Callers(world).burst(host, it) }
-            Fault.F15 -> cacheNews(host)
-            Fault.F16 -> target.crossed = true
-            Fault.F17 -> listLags(target)
-            Fault.F18 -> world.engines.orderWithOldFencing()
-            Fault.F19 -> slowLoads()
-            Fault.F20 -> replaceAll()
-        }
+        if (fault in CERTAIN) world.effects.add(fault)
+        actions.getValue(fault)(host, target)
     }
 
     private fun stageTargets(): List<WorldTarget> = world.targetsOf(world.cell.pipeline.stage)
@@ -100,7 +103,9 @@
     }
 
     private fun pauseHolder(host: WorldHost) {
-        val holder = world.hosts.first { it.dataCentre == host.dataCentre }
+        // With F2 the host itself stands still, so the holder is that of the other data centre.
+        val paused = Fault.F2 in world.cell.faults
+        val holder = world.hosts.first { (it.dataCentre == host.dataCentre) != paused }
         world.engines.drift()
         forTime(LEASE_PAUSE, { world.engines.delayedHolder = holder }) {
             world.engines.delayedHolder = null
@@ -143,17 +148,28 @@
         }
     }
 
-    /** The list keeps a dead target and a leaving one. */
+    /** The list keeps dead and leaving targets until it has caught up. */
     private fun listLags(target: WorldTarget) {
         val others = stageTargets().filter { it !== target }
-        others.first().kill()
-        others.last().leavingSince = world.clock.now()
-        world.learnLeaving(others.last())
+        val gone = others.take(LISTED_DEAD) + others.takeLast(LISTED_LEAVING)
+        others.take(LISTED_DEAD).forEach { it.kill() }
+        others.takeLast(LISTED_LEAVING).forEach {
+            it.leavingSince = world.clock.now()
+            world.learnLeaving(it)
+        }
+        forTime(LIST_LAG, {}) { world.delist(gone) }
+        world.network.launch {
+            repeat(2) { round ->
+                delay(AFTER_LEAVING)
+                val host = world.hosts.firstOrNull { it.ready } ?: return@launch
+                repeat(LATE_REQUESTS) { Callers(world).burst(host, round * LATE_REQUESTS + it) }
+            }
+        }
     }
 
     private fun slowLoads() {
         world.loadTime = OUTAGE
-        world.engines.drift()
+        world.engines.unload()
     }
 
     /** Planned stops, one host after the other; a new process starts before the next stop. */
@@ -170,6 +186,19 @@
     }
 
     private companion object {
+        /** Faults that act at once on state that hosts read in each run. */
+        val CERTAIN = setOf(
+            Fault.F1,
+            Fault.F7,
+            Fault.F8,
+            Fault.F9,
+            Fault.F10,
+            Fault.F12,
+            Fault.F14,
+            Fault.F15,
+            Fault.F18,
+            Fault.F20
+        )
         val RESTART = 1.seconds
         val REVIVAL = 3.seconds
         val SLOW = 2.seconds
@@ -177,6 +206,13 @@
         val OUTAGE = 60.seconds
         val REPLACEMENT = 10.seconds
         val CACHE_AGE = 500.milliseconds
+        val LIST_LAG = 30.seconds
+
+        /** Half of the time in which a leaving target must disappear, and a margin. */
+        val AFTER_LEAVING = 1600.milliseconds
+        const val LATE_REQUESTS = 12
+        const val LISTED_DEAD = 2
+        const val LISTED_LEAVING = 2
         const val SLOW_FACTOR = 10
         const val BURST = 60
     }
--- a/faults/src/main/kotlin/org/sapphirelever/faults/FaultMatrix.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/FaultMatrix.kt
@@ -41,12 +41,14 @@
 
 private val RECOVERY = 90.seconds
 
-/** Judges one run. A step that the request never reached proves nothing. */
+/** Judges one run. A step never reached, or a fault never met, proves nothing. */
 public fun RunRecord.judge(): CellResult {
     val found = violations()
+    val unmet = cell.faults - final.effects
     return when {
         found.isNotEmpty() -> CellResult.Fail(found)
         !reached -> CellResult.NotProved("the request did not reach the step")
+        unmet.isNotEmpty() -> CellResult.NotProved("nothing met ${unmet.joinToString()}")
         else -> CellResult.Pass
     }
 }
--- a/faults/src/main/kotlin/org/sapphirelever/faults/Hosts.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/Hosts.kt
@@ -110,7 +110,7 @@
         CapacitySettings(
             dataCentre = dataCentre,
             holder = label,
-            groups = { world.engineGroups },
+            groups = { world.enginesOf(dataCentre) },
             moment = { world.moment },
             planner = world.planner
         ),
@@ -157,6 +157,7 @@
         if (!alive) CompletableDeferred<Unit>().await()
         val left = pausedUntil - world.clock.now()
         if (left.isPositive()) {
+            world.effects.add(Fault.F2)
             delay(left)
             checkpoint()
         }
--- a/faults/src/main/kotlin/org/sapphirelever/faults/Records.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/Records.kt
@@ -56,7 +56,7 @@
 /** Fencing numbers before and after an engine took an order. */
 public data class TakenOrder(val honours: Boolean, val before: Long, val after: Long)
 
-/** State at the end of a run. */
+/** State at the end of a run; [effects] names the faults that something in the world met. */
 public data class FinalState(
     val revisions: Map<String, Long>,
     val documentRevision: Long,
@@ -64,7 +64,8 @@
     val roles: List<String>,
     val bystander: OutcomeMessage?,
     val exitCodes: List<Int>,
-    val crashedTargets: Int
+    val crashedTargets: Int,
+    val effects: Set<Fault>
 )
 
 /** All records of one run. */
--- a/faults/src/main/kotlin/org/sapphirelever/faults/Targets.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/Targets.kt
@@ -86,6 +86,8 @@
         if (!finished) answer()
         val result = (state as? AttemptState.Finished)?.result
             ?: AttemptResult.MayHaveRun(ErrorCode.TARGET_LOST)
+        if (dropped > 0) meets(Fault.F16)
+        if (target.liesAboutLoad) meets(Fault.F5)
         return CallResult(result, load(), dropped, resumes, broken)
     }
 
@@ -102,6 +104,10 @@
         host.checkpoint()
     }
 
+    private fun meets(vararg faults: Fault) {
+        world.effects.addAll(faults)
+    }
+
     private suspend fun connect() {
         if (victim) world.calls(target)
         on(AttemptEvent.ConnectStarted)
@@ -109,6 +115,7 @@
         delay(ROUND_TRIP)
         if (!world.connected(host, target) || target.process != process) {
             target.silent = false
+            if (!target.alive) meets(Fault.F3, Fault.F17)
             on(AttemptEvent.ConnectFailed)
         }
     }
@@ -132,16 +139,19 @@
             )
         )
         if (refused) {
+            meets(Fault.F17)
             world.learnLeaving(target)
             on(AttemptEvent.Refused(RefusalReason.LEAVING))
         } else if (call.input == world.poison && victim) {
             target.kill()
             world.crashed++
+            meets(Fault.F13)
             lost()
         }
     }
 
     private suspend fun answer() {
+        if (target.slow > 1) meets(Fault.F4)
         delay(WORK * target.slow)
         reach(Step.FIRST_BYTE)
         if (lost() || late()) return
@@ -152,6 +162,7 @@
             if (lost() || late()) return
             token(index, part)
             if (target.crossed) token(index, part)
+            if (target.slow > 1) meets(Fault.F4)
             delay(TOKEN * target.slow)
         }
         reach(Step.LAST_BYTE)
@@ -182,11 +193,13 @@
 
     /** Whether the connection is seen to break. Silence hides it, as a partition does. */
     private fun lost(): Boolean {
+        if (target.silent) meets(Fault.F6)
         silent = silent || target.silent
         target.silent = false
         if (silent) return false
         if (target.alive && target.process == process) return false
         broken = true
+        meets(Fault.F3)
         on(AttemptEvent.ConnectionLost)
         return true
     }
--- a/faults/src/main/kotlin/org/sapphirelever/faults/World.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/World.kt
@@ -5,6 +5,7 @@
 package org.sapphirelever.faults
 
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CopyOnWriteArraySet
 import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -62,7 +63,7 @@
     val moment = DayMoment(1, 1)
     private val faults = FaultActions(this)
     private val targets: Map<TargetId, WorldTarget> = targetList().associateBy { it.target.id }
-    val engineGroups: List<EngineGroup>
+    private val engineGroups: Map<DataCentre, List<EngineGroup>>
     val engines: WorldEngines
     var hosts: List<WorldHost> = emptyList()
         private set
@@ -70,18 +71,22 @@
     var partitioned = false
     var poison: String? = null
     var crashed = 0
-    var loadTime: Duration = 1.seconds
+    var loadTime: Duration = WorldEngines.NORMAL_LOAD
+    val effects = CopyOnWriteArraySet<Fault>()
     var reached = false
         private set
     private var processes = 0
     private var called: WorldTarget? = null
+    private var delisted: Set<WorldTarget> = emptySet()
     private var armed: List<Fault> = emptyList()
     private lateinit var first: Configuration
 
     init {
         val ids = (1..ENGINES).map { TargetId("engine-$it") to Endpoint("127.0.0.2", it) }
         val service = declared().services.getValue(ServiceName("asystent"))
-        engineGroups = listOf(EngineGroup(service.copy(model = WorldEngines.MODEL), ids.toMap()))
+        engineGroups = listOf(NORTH, SOUTH).zip(ids.chunked(ENGINES / 2)).associate { (at, some) ->
+            at to listOf(EngineGroup(service.copy(model = WorldEngines.MODEL), some.toMap()))
+        }
         engines = WorldEngines(this, ids.map { it.second })
     }
 
@@ -102,17 +107,26 @@
         val host = WorldHost(this, name, dataCentre, ++processes, context, seed + processes)
         hosts = hosts.filterNot { it.name == name } + host
         all = all + host
-        val list = targets.values.map { it.target }
-        host.targets(TargetListEvent.Read(fencing = 1, targets = list))
+        host.targets(TargetListEvent.Read(fencing = 1, targets = listed()))
         host.start()
         return host
     }
 
+    /** The host list has caught up with the end of [gone]. */
+    fun delist(gone: List<WorldTarget>) {
+        delisted = delisted + gone
+        hosts.forEach { it.targets(TargetListEvent.Read(fencing = 1, targets = listed())) }
+    }
+
+    private fun listed(): List<Target> = (targets.values - delisted).map { it.target }
+
     fun target(id: TargetId): WorldTarget = targets.getValue(id)
 
     fun targetsOf(stage: String): List<WorldTarget> =
         targets.values.filter { it.target.service.value == SERVICES.getValue(stage) }
 
+    fun enginesOf(dataCentre: DataCentre): List<EngineGroup> = engineGroups.getValue(dataCentre)
+
     fun connected(host: WorldHost, target: WorldTarget): Boolean =
         target.alive && !(partitioned && host.dataCentre != target.target.dataCentre)
 
@@ -164,7 +178,8 @@
             roles = engines.roles,
             bystander = bystander,
             exitCodes = exitCodes.toList(),
-            crashedTargets = crashed
+            crashedTargets = crashed,
+            effects = effects.toSet()
         )
     }
 
