Make the stream test independent of the speed of the machine

Cause: StreamingCallTest failed once at load 15. A reset can drop bytes that the client has not read, and the 300 ms progress bound could strike before a token arrived. Change: the scripted engine breaks a connection only after the client has passed on its last token; only cases with silence use a short bound. Ruled out: a retry of the test, which would hide a real loss. Conclusion: the verdict no longer depends on timing.

--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
@@ -25,6 +25,8 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.encodeToString
@@ -133,8 +135,13 @@
 
     /** Request that the answer names, or null for a target that falls silent. */
     private var runAnswer: String? = null
-    private val settings = TargetSettings(progressBound = 300.milliseconds)
-    private val client = HttpTargetClient(settings)
+    private val client = HttpTargetClient(TargetSettings(progressBound = LIMIT))
+
+    /** Only cases with silence end by the progress bound, so that a busy machine passes the rest. */
+    private val impatient = HttpTargetClient(TargetSettings(progressBound = SILENCE_BOUND))
+
+    /** Index of the last token that the client has passed on. */
+    private val lastSeen = MutableStateFlow(-1)
     private val server: EmbeddedServer<*, *> =
         embeddedServer(CIO, port = 0, host = "127.0.0.1") {
             routing {
@@ -158,6 +165,7 @@
     @AfterTest
     fun stop() {
         client.close()
+        impatient.close()
         server.stop(0, 0)
     }
 
@@ -170,7 +178,13 @@
             connections.set(0)
             resumedAfter.clear()
             val seen = mutableListOf<String>()
-            val called = client.call(call(port)) { index, text -> seen.add("$index:$text") }
+            lastSeen.value = -1
+            val silent = case.connections.any { Act.Silence in it }
+            val called =
+                (if (silent) impatient else client).call(call(port)) { index, text ->
+                    seen.add("$index:$text")
+                    lastSeen.value = index
+                }
             check(case, called, seen)
         }
     }
@@ -190,7 +204,8 @@
         val port = server.engine.resolvedConnectors().single().port
         for (case in runCases) {
             runAnswer = case.request
-            val call = call(port).copy(stream = false, progressBound = 300.milliseconds)
+            val bound = if (case.request == null) SILENCE_BOUND else LIMIT
+            val call = call(port).copy(stream = false, progressBound = bound)
             val called = client.call(call)
             assertEquals(case.answered, called.result is AttemptResult.Answered, case.name)
             if (!case.answered) assertEquals<AttemptResult>(lost, called.result, case.name)
@@ -258,7 +273,12 @@
 
                     Act.Silence -> awaitCancellation()
 
-                    Act.Break -> throw IOException("broken by the test")
+                    // A reset can drop bytes that the client has not read.
+                    Act.Break -> {
+                        val sent = acts.filterIsInstance<Act.Token>().maxOf { it.index }
+                        lastSeen.first { it >= sent }
+                        throw IOException("broken by the test")
+                    }
 
                     is Act.Status -> error("a status stands alone")
                 }
@@ -288,5 +308,6 @@
     private companion object {
         const val REQUEST = "r"
         val LIMIT = 30.seconds
+        val SILENCE_BOUND = 1.seconds
     }
 }
