Serve a burst early for an organisation below its share

Change: an organisation that has used less than its share may have 16 calls served early; the predicted wait counts only the waiting calls that its share has still to pay for.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/AdmissionState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/AdmissionState.kt
@@ -66,7 +66,8 @@
         }
         val queued = admission.queue.costs
         val ahead = reserved[service] ?: persistentMapOf()
-        val own = (queued[organisation] ?: 0.0) + (ahead[organisation] ?: 0.0)
+        val unpaid = admission.queue.unpaid(organisation, weight(organisation))
+        val own = unpaid + (ahead[organisation] ?: 0.0)
         val total = queued.values.sum() + ahead.values.sum()
         val active = queued.keys + ahead.keys + organisation
         val share = weight(organisation) / active.sumOf { weight(it) }
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/FairQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/admission/FairQueue.kt
@@ -71,7 +71,7 @@
     /** The queue with [call] added at [now]. */
     public fun add(call: WaitingCall, now: MonotonicTime): FairQueue {
         val organisation = call.organisation
-        val start = maxOf(virtualTime, finish[organisation] ?: 0.0)
+        val start = start(organisation, call.weight, call.cost)
         val lane = lanes[call.lane] ?: Lane()
         return copy(
             lanes = lanes.put(call.lane, lane.add(QueuedCall(call, now, start))),
@@ -81,6 +81,21 @@
         )
     }
 
+    /**
+     * Virtual start of a new call of [organisation]. One that has used less than its share may
+     * start up to [BURST] calls early: the arrivals of a small organisation at one host vary by
+     * more than its share leaves room for, although its demand is inside the share.
+     */
+    private fun start(organisation: OrganisationName, weight: Int, cost: Double): Double =
+        maxOf(virtualTime - BURST * cost / weight, finish[organisation] ?: 0.0)
+
+    /** Cost of the waiting calls of [organisation] that its share has still to pay for. */
+    public fun unpaid(organisation: OrganisationName, weight: Double): Double {
+        val queued = costs[organisation] ?: return 0.0
+        val behind = ((finish[organisation] ?: 0.0) - virtualTime) * weight
+        return behind.coerceIn(0.0, queued)
+    }
+
     /**
      * The next call at [now]; long ones only if [longPermitted]. Age raises a whole priority over
      * the others; among equals the virtual start alone decides. Otherwise the aged calls of an
@@ -123,6 +138,9 @@
         /** Waiting time that raises a call by one priority. */
         public val AGEING: Duration = 250.milliseconds
 
+        /** Calls that an organisation below its share may have served early. */
+        public const val BURST: Int = 16
+
         private val BY_START = compareBy<QueuedCall>({ it.start }, { it.call.id })
     }
 }
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/admission/FairQueueTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/admission/FairQueueTest.kt
@@ -53,6 +53,18 @@
         assertTrue(queue.drain(3, later).any { it.organisation.value == "other" })
     }
 
+    @Test
+    fun `an organisation below its share has a burst served early, but no more than that`() {
+        val greedy = List(100) { call("greedy") }
+        var queue = greedy.fold(FairQueue()) { queue, call -> queue.add(call, start) }
+        repeat(50) { queue = queue.take(checkNotNull(queue.next(start, longPermitted = true))) }
+        val late = List(40) { call("late") }
+        val all = late.fold(queue) { queue, call -> queue.add(call, start) }
+        assertEquals(40.0 - FairQueue.BURST, all.unpaid(OrganisationName("late"), 1.0), 1.0)
+        val served = all.drain(40).count { it.organisation.value == "late" }
+        assertTrue(served in 27..29, "$served")
+    }
+
     @Property(tries = 100, seed = "3")
     fun `organisations with work share by weight`(
         @ForAll @IntRange(min = 1, max = 8) weight: Int,
