--- a/faults/src/main/kotlin/org/sapphirelever/faults/MatrixReport.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/MatrixReport.kt
@@ -14,6 +14,7 @@
     appendLine("Cells: ${results.size}, passed $passed, failed $failed, not proved $open.")
     appendLine("Each letter pair is the streaming pipeline, then the keyed one:")
     appendLine("`p` pass, `F` fail, `-` not proved. Every cell checks R1 to R8.")
+    appendLine("A cell passes only if the step was reached and something met its faults.")
     appendLine()
     appendLine("| fault | ${Step.entries.joinToString(" | ") { it.title }} |")
     appendLine("|---|${Step.entries.joinToString("") { "---|" }}")
@@ -25,11 +26,25 @@
     appendLine()
     appendLine("## Not proved")
     appendLine()
+    LIMITS.forEach { appendLine("- $it") }
     results.forEach { (cell, result) ->
         if (result is CellResult.NotProved) appendLine("- $cell: ${result.reason}.")
     }
 }
 
+/** What no cell shows, since the world replaces it by a fake. */
+private val LIMITS = listOf(
+    "Sockets, HTTP and the stream protocol: the target client of the world replaces them.",
+    "Membership, peer links and the reader lease: the world itself carries marks, documents " +
+        "and reports of leaving targets every 2 s, so the 10 s of R7 and the 3 s of R5 are " +
+        "shown for the decisions and not for the links.",
+    "R7 is checked 90 s after the end of the victim's request, not within 10 s of each write.",
+    "F2 and F11: the timers of a paused process run on; only its calls stand still.",
+    "F15: the requests carry no prefix, so cache news cannot change the choice of a target.",
+    "F19: a throttled weight store is an engine that loads for 60 s.",
+    "Truncated streams have no fault of their own in the fault model and no cell."
+)
+
 private fun row(faults: List<Fault>, results: Map<Cell, CellResult>): String {
     val marks = Step.entries.map { step ->
         PipelineKind.entries.joinToString("") { mark(results[Cell(faults, step, it)]) }
--- a/faults/src/test/kotlin/org/sapphirelever/faults/FaultMatrixTest.kt
+++ b/faults/src/test/kotlin/org/sapphirelever/faults/FaultMatrixTest.kt
@@ -1,5 +1,6 @@
 package org.sapphirelever.faults
 
+import java.io.File
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -17,10 +18,13 @@
         val results = CELLS.associateWith(::resultOf)
         val failed = results.filterValues { it is CellResult.Fail }
         System.getenv("FAULT_MATRIX_REPORT")?.let { path ->
-            java.io.File(path).writeText(matrixReport(results, SEED))
+            File(path).writeText(matrixReport(results, SEED))
         }
         val text = failed.entries.joinToString("\n") { (cell, result) -> "$cell: $result" }
         assertTrue(failed.isEmpty(), "${failed.size} of ${results.size} cells:\n$text")
+        // Only faults of one connection can come after the call that they would meet.
+        val open = results.filterValues { it is CellResult.NotProved }.keys
+        assertEquals(emptySet(), open.filter { it.faults.none(ON_CALL::contains) }.toSet())
         assertEquals((Fault.entries.size + PAIRS.size) * 18, results.size)
     }
 
@@ -35,6 +39,7 @@
     }
 
     private companion object {
+        val ON_CALL = setOf(Fault.F3, Fault.F4, Fault.F6, Fault.F13, Fault.F16)
         const val SEED = 20_261_204
     }
 }
