--- a/load/src/main/kotlin/org/sapphirelever/load/experiment/RunExperiments.kt
+++ b/load/src/main/kotlin/org/sapphirelever/load/experiment/RunExperiments.kt
@@ -17,7 +17,8 @@
 /** All experiments, in the order in which they run. */
 public val EXPERIMENTS: List<Experiment> = listOf(
     SurgeExperiment,
-    LongWorkExperiment,
+    LongWorkExperiment.AMPLE,
+    LongWorkExperiment.CONTENDED,
     StragglerExperiment,
     PrefixExperiment,
     FailureExperiment
