Offer an accepted configuration to the host that wrote it

Cause: with lost platform replies a change was accepted, and the hosts still told the former revision when the case ended. The reader learned it by its watch only, and a watch whose reply is lost held for up to 22 s, above the 10 s in which a change is to be in force.

Change: the writer offers each configuration it reads or writes to its own host, which announces it to the peers; a watch waits 5 s instead of 20 s.

Ruled out: a second watch; it would double the waiting calls.

Conclusion: one lost reply no longer delays a change past its bound; the time over real processes was not measured again.

--- a/cli/src/main/kotlin/org/sapphirelever/cli/ResourceCommands.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ResourceCommands.kt
@@ -45,6 +45,10 @@
         "end after this many revisions; without it, only a signal ends the watch"
     )
 
+/** Path of the resource that the arguments name. */
+private val Invocation.resourcePath: String
+    get() = "/v1/resources/${argument("KIND")}/${argument("NAME")}"
+
 /** Prints one resource. */
 public object GetCommand : Command {
     override val name: String get() = "get"
@@ -53,8 +57,7 @@
     override val arguments: List<ArgumentDeclaration> get() = listOf(KIND, NAME)
 
     override suspend fun run(invocation: Invocation): ExitCode {
-        val path = "/v1/resources/${invocation.argument("KIND")}/${invocation.argument("NAME")}"
-        invocation.print(invocation.withClient { it.call(HttpMethod.Get, path) })
+        invocation.print(invocation.withClient { it.call(HttpMethod.Get, invocation.resourcePath) })
         return ExitCode.SUCCESS
     }
 }
@@ -103,8 +106,11 @@
     override val arguments: List<ArgumentDeclaration> get() = listOf(KIND, NAME)
 
     override suspend fun run(invocation: Invocation): ExitCode {
-        val path = "/v1/resources/${invocation.argument("KIND")}/${invocation.argument("NAME")}"
-        invocation.print(invocation.withClient { it.call(HttpMethod.Delete, path) })
+        invocation.print(
+            invocation.withClient {
+                it.call(HttpMethod.Delete, invocation.resourcePath)
+            }
+        )
         return ExitCode.SUCCESS
     }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ConfigurationWriter.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ConfigurationWriter.kt
@@ -34,7 +34,14 @@
     public val apply: (Configuration) -> Configuration
 )
 
-public class ConfigurationWriter(private val platform: Platform) {
+/**
+ * Writes changes to [platform]. [onAccepted] receives each accepted configuration that a write
+ * reads or makes, so that it is in force here without waiting for the watch of the reader.
+ */
+public class ConfigurationWriter(
+    private val platform: Platform,
+    private val onAccepted: (Configuration) -> Unit = {}
+) {
     private data class Stored(val configuration: Configuration, val platformRevision: Long)
 
     /**
@@ -52,7 +59,10 @@
             val event = when (val step = decision.step) {
                 WriteStep.Read -> {
                     val read = platform.read(CONFIGURATION_KEY)
-                    if (read != null) stored = Stored(read.toConfiguration(), read.revision)
+                    if (read != null) {
+                        stored = Stored(read.toConfiguration(), read.revision)
+                        onAccepted(stored.configuration)
+                    }
                     read?.let { WriteEvent.ReadBack(stored.configuration) } ?: WriteEvent.ReadFailed
                 }
 
@@ -76,9 +86,15 @@
         val next = state.next(base, changed(state, change, base))
         val text = encode(state, next)
         return when (platform.compareAndSwap(CONFIGURATION_KEY, stored.platformRevision, text)) {
-            is WriteResult.Written -> WriteEvent.Written(next.revision)
+            is WriteResult.Written -> {
+                onAccepted(next)
+                WriteEvent.Written(next.revision)
+            }
+
             is WriteResult.Conflict -> WriteEvent.Refused
+
             is WriteResult.Unclear -> WriteEvent.Unclear(next.revision)
+
             is WriteResult.Unavailable -> WriteEvent.Unavailable
         }
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
@@ -96,7 +96,9 @@
     private companion object {
         /** Lease of the reader, followed by the name of its data centre. */
         const val LEASE_PREFIX = "sapphirelever/reader/"
-        val WATCH_WAIT = 20.seconds
+
+        /** A lost reply ends a watch 2 s later, inside the 10 s until a change is in force. */
+        val WATCH_WAIT = 5.seconds
         val READ_INTERVAL = 1.seconds
         val POLL = 500.milliseconds
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -141,7 +141,11 @@
         )
     private val requests = RequestRoutes(settings.bodyLimit, runner, keyed, explanations)
     private val resources =
-        ResourceRoutes(settings.bodyLimit, network.protocol, ConfigurationWriter(platform))
+        ResourceRoutes(
+            settings.bodyLimit,
+            network.protocol,
+            ConfigurationWriter(platform, network.protocol::adopt)
+        )
 
     init {
         network.keyRequests = keyed
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/feed/ConfigurationWriterTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/feed/ConfigurationWriterTest.kt
@@ -104,6 +104,17 @@
         assertEquals("accepted 1", result(platform, "own", Revision(0)))
     }
 
+    /** Without it, a write whose reply is lost waits for the next watch of the elected reader. */
+    @Test
+    fun `an accepted configuration is offered to the host that wrote it`() = runTest {
+        for (fault in listOf(SwapFault.NONE, SwapFault.REPLY_LOST)) {
+            val platform = FakePlatform().apply { faults.add(fault) }
+            val offered = mutableListOf<Long>()
+            ConfigurationWriter(platform) { offered.add(it.revision.value) }.write(change("own"))
+            assertEquals(1, offered.max(), "$fault")
+        }
+    }
+
     @Test
     fun `of operators that race with lost replies exactly one wins each revision`() = runTest {
         val platform = FakePlatform()
