Decide in one place which host asks for leases; close the order client

Cause: the elected reader and the entry host each checked whether the host is a candidate for the leases of its data centre, and the wiring of the capacity controller never closed its HTTP client. Change: MembershipState.ownIsReaderCandidate serves both; the entry host closes the client when it ends. Ruled out: one HTTP client set-up for the load tool and the target client; their limits differ in purpose and the modules share no place for it.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/Ranking.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/membership/Ranking.kt
@@ -19,3 +19,7 @@
         .map { it.id }
 
 private const val READER_CANDIDATES = 2
+
+/** Whether this host may ask for the leases of its data centre. */
+public fun MembershipState.ownIsReaderCandidate(): Boolean =
+    own.isLive && own.id in readerCandidates(own.dataCentre)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
@@ -15,7 +15,7 @@
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.decisions.configuration.targetsFor
-import org.sapphirelever.decisions.membership.readerCandidates
+import org.sapphirelever.decisions.membership.ownIsReaderCandidate
 import org.sapphirelever.decisions.routing.Target
 import org.sapphirelever.platform.ListedHost
 import org.sapphirelever.platform.Platform
@@ -70,11 +70,7 @@
         lease.release()
     }
 
-    private fun eligible(): Boolean {
-        val membership = protocol.state.membership.value
-        return membership.own.isLive &&
-            membership.own.id in membership.readerCandidates(own.dataCentre)
-    }
+    private fun eligible(): Boolean = protocol.state.membership.value.ownIsReaderCandidate()
 
     private suspend fun whileHolding(act: suspend () -> Unit) {
         while (true) if (mayAct()) act() else delay(POLL)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -17,7 +17,7 @@
 import org.sapphirelever.core.SystemMonotonicClock
 import org.sapphirelever.decisions.admission.AdmissionState
 import org.sapphirelever.decisions.admission.DispatchRules
-import org.sapphirelever.decisions.membership.readerCandidates
+import org.sapphirelever.decisions.membership.ownIsReaderCandidate
 import org.sapphirelever.decisions.routing.ExpectedCompletionPolicy
 import org.sapphirelever.decisions.routing.RoutingState
 import org.sapphirelever.decisions.routing.TargetPolicy
@@ -97,16 +97,17 @@
     private val executor = RequestExecutor(reporting, client, clock, repetition)
     private val burn = BurnRecorder(settings.host, settings.objective, clock)
     private val explanations = Explanations()
+
+    // Two hosts of each data centre ask for the lease, so that the calls do not grow with it.
     private val capacity =
         CapacitySettings(
             dataCentre = settings.dataCentre,
             holder = incarnation.value,
             groups = { engineGroups(settings.dataCentre, configuration.value, routing.value) },
-            contends = { isReaderCandidate() }
+            contends = { network.state.membership.value.ownIsReaderCandidate() }
         )
-    private val controller = HttpEngineOrders().let { orders ->
-        CapacityController(capacity, platform, orders, clock)
-    }
+    private val engineOrders = HttpEngineOrders()
+    private val controller = CapacityController(capacity, platform, engineOrders, clock)
     private val shutdown: GracefulShutdown =
         GracefulShutdown(
             settings.balancerDelay,
@@ -172,6 +173,8 @@
             } catch (failure: SupervisorFailedException) {
                 logWarning("host-gave-up") { "failure" to failure }
                 ExitCode.INTERNAL
+            } finally {
+                engineOrders.close()
             }
         logEvent("host-stopped") { "exit" to code.number }
         return code
@@ -213,12 +216,6 @@
         burn.routes
     )
 
-    /** Two hosts of each data centre ask for its leases, so that the calls do not grow with it. */
-    private fun isReaderCandidate(): Boolean {
-        val members = network.state.membership.value
-        return members.own.id in members.readerCandidates(settings.dataCentre)
-    }
-
     /** Steps of a planned stop, after the last request has ended. */
     private fun departureSteps(): List<StopStep> {
         val departure = Departure(settings.dataCentre, network) { keyed }
