Serve the users' platform through a forwarding front end

Adds the thin path: callers' HTTP connections, routes and keys, stages in batches, model engines and plain services, and a feed of the store. platform/ translates names and messages; decisions are pure and live in decisions/forwarding; runtime/forward and runtime/transport run them. The interface and client of the product's own store move to runtime/store, so that runtime no longer depends on platform/.

--- /dev/null
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
@@ -0,0 +1,53 @@
+/*
+ * The forwarding host as a process.
+ */
+package org.sapphirelever.cli
+
+import org.sapphirelever.core.ExitCode
+import org.sapphirelever.core.settings.PortType
+import org.sapphirelever.core.settings.SettingGroup
+import org.sapphirelever.core.settings.SwitchType
+import org.sapphirelever.core.settings.TextType
+import org.sapphirelever.core.settings.defaulted
+import org.sapphirelever.core.settings.required
+import org.sapphirelever.core.settings.settings
+import org.sapphirelever.platform.PlatformProtocol
+import org.sapphirelever.platform.StoreClient
+import org.sapphirelever.platform.readHostFile
+import org.sapphirelever.runtime.forward.ForwardingHost
+import org.sapphirelever.runtime.host.onStopSignal
+import org.sapphirelever.runtime.transport.Sockets
+
+/** Runs a forwarding host until a signal stops it. */
+public object ForwardCommand : Command {
+    private const val METRICS_PORT = 9_464L
+
+    private val file = required("settings", TextType, "settings file of the users' platform")
+    private val metricsPort = defaulted("metrics-port", PortType, METRICS_PORT, "port of metrics")
+    private val checkOnly =
+        defaulted("check-file-only", SwitchType, false, "check the settings and start nothing")
+
+    override val name: String get() = "forward"
+    override val summary: String get() = "Runs a forwarding host on the users' platform."
+    override val settings: SettingGroup =
+        settings {
+            +file
+            +metricsPort
+            +checkOnly
+        }
+
+    override suspend fun run(invocation: Invocation): ExitCode {
+        val profile =
+            readHostFile(invocation.values[file], invocation.values[metricsPort].toInt())
+        if (invocation.values[checkOnly]) {
+            invocation.output.println("settings are valid")
+            return ExitCode.SUCCESS
+        }
+        return Sockets().use { sockets ->
+            val store = StoreClient(profile.store, sockets)
+            val host = ForwardingHost(profile, PlatformProtocol, store, sockets)
+            onStopSignal(host::signal)
+            host.run()
+        }
+    }
+}
--- a/cli/src/main/kotlin/org/sapphirelever/cli/HostCommand.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/HostCommand.kt
@@ -25,7 +25,7 @@
 import org.sapphirelever.core.settings.required
 import org.sapphirelever.core.settings.settings
 import org.sapphirelever.decisions.burn.Objective
-import org.sapphirelever.platform.HttpPlatform
+import org.sapphirelever.runtime.store.HttpPlatform
 import org.sapphirelever.runtime.host.EntryHost
 import org.sapphirelever.runtime.host.HostSettings
 import org.sapphirelever.runtime.host.onStopSignal
--- a/cli/src/main/kotlin/org/sapphirelever/cli/Main.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/Main.kt
@@ -21,6 +21,7 @@
 public val COMMANDS: List<Command> =
     listOf(
         HostCommand,
+        ForwardCommand,
         PlatformStandInCommand,
         PoolStandInCommand,
         EngineStandInCommand,
--- a/cli/src/main/kotlin/org/sapphirelever/cli/StandInSettings.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/StandInSettings.kt
@@ -24,9 +24,9 @@
 import org.sapphirelever.core.settings.optional
 import org.sapphirelever.core.settings.required
 import org.sapphirelever.core.settings.settings
-import org.sapphirelever.platform.HttpPlatform
-import org.sapphirelever.platform.WeightResult
-import org.sapphirelever.platform.WeightStore
+import org.sapphirelever.runtime.store.HttpPlatform
+import org.sapphirelever.runtime.store.WeightResult
+import org.sapphirelever.runtime.store.WeightStore
 import org.sapphirelever.standins.EngineSettings
 import org.sapphirelever.standins.PlatformFaults
 import org.sapphirelever.standins.PlatformLimits
--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
@@ -0,0 +1,130 @@
+/*
+ * Choice of the model engine for a request: where its prompt is read soonest, given what each
+ * engine has cached and what else it has to read.
+ */
+package org.sapphirelever.decisions.forwarding
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.rendezvousRank
+
+/** One part of a prompt. Requests share parts; a cached part needs all parts before it. */
+public data class PromptPart(public val id: String, public val tokens: Int)
+
+/** What the choice depends on; [shared] are the parts that other requests have as well. */
+public data class PromptShape(
+    public val shared: PersistentList<PromptPart> = persistentListOf(),
+    public val ownTokens: Int = 0,
+    public val outputTokens: Int = 0
+) {
+    public val tokens: Int get() = ownTokens + shared.sumOf { it.tokens }
+}
+
+/** Load of a target by its own last report. */
+public data class LoadReport(
+    public val running: Int,
+    public val waiting: Int,
+    public val slots: Int,
+    public val slownessPercent: Int,
+    public val at: MonotonicTime
+)
+
+/**
+ * What this host knows of one target.
+ *
+ * @property outstanding calls of this host that have not ended
+ * @property unreadTokens prompt tokens that this host sent and that gave no event yet
+ * @property cached parts that this host's requests had read there, the latest last
+ * @property failures consecutive calls that broke
+ * @property failedAt time of the last of them
+ */
+public data class TargetView(
+    public val outstanding: Int = 0,
+    public val unreadTokens: Int = 0,
+    public val cached: PersistentMap<String, MonotonicTime> = persistentMapOf(),
+    public val report: LoadReport? = null,
+    public val failures: Int = 0,
+    public val failedAt: MonotonicTime? = null
+) {
+    /** Whether recent calls broke, so that the target is taken only if no other is left. */
+    public fun isSuspect(now: MonotonicTime): Boolean {
+        val since = failedAt ?: return false
+        return now - since < FAILURE_MEMORY * failures.coerceAtMost(MAXIMUM_FAILURES)
+    }
+
+    private companion object {
+        const val MAXIMUM_FAILURES = 4
+    }
+}
+
+/** Chooses among [candidates]; null when there is none. */
+public fun chooseEngine(
+    candidates: List<TargetRecord>,
+    views: Map<TargetId, TargetView>,
+    prompt: PromptShape,
+    here: DataCentre,
+    now: MonotonicTime
+): TargetRecord? {
+    val sound = candidates.filterNot { views[it.id]?.isSuspect(now) == true }.ifEmpty { candidates }
+    val home = prompt.shared.lastOrNull()?.let { homeOf(it.id, sound) }
+    return sound.minByOrNull { engine ->
+        val view = views[engine.id] ?: TargetView()
+        val distance = if (engine.dataCentre == here) 0.0 else REMOTE_MILLIS
+        expectedMillis(view, prompt, engine.id == home, now) + distance
+    }
+}
+
+private fun homeOf(part: String, engines: List<TargetRecord>): TargetId? =
+    engines.maxByOrNull { rendezvousRank(part, it.id.value) }?.id
+
+private fun expectedMillis(
+    view: TargetView,
+    prompt: PromptShape,
+    isHome: Boolean,
+    now: MonotonicTime
+): Double {
+    val report = view.report?.takeIf { now - it.at < REPORT_LIFETIME }
+    val slowness = (report?.slownessPercent ?: USUAL_PERCENT).toDouble() / USUAL_PERCENT
+    val others = ((report?.running ?: 0) - view.outstanding).coerceAtLeast(0)
+    val waiting = report?.waiting ?: 0
+    val toRead = unreadTokens(view, prompt, isHome) + view.unreadTokens
+    val reading = toRead / PREFILL_TOKENS_PER_MILLI
+    return slowness * (reading + (view.outstanding + others) * RUNNING_MILLIS) +
+        waiting * WAITING_MILLIS
+}
+
+/** Tokens of [prompt] that the engine has probably not cached. */
+private fun unreadTokens(view: TargetView, prompt: PromptShape, isHome: Boolean): Double {
+    val known = prompt.shared.takeWhile { it.id in view.cached }.sumOf { it.tokens }
+    val shared = prompt.shared.sumOf { it.tokens }
+    // Other hosts send the same part to the same engine, so its home has probably read it.
+    val rest = (shared - known) * (if (isHome) UNSEEN_AT_HOME else 1.0)
+    return rest + prompt.ownTokens
+}
+
+/** Prompt tokens that an engine reads in a millisecond, about, when nothing else runs. */
+private const val PREFILL_TOKENS_PER_MILLI = 40.0
+
+/** Delay that one running request adds to the others, in milliseconds. */
+private const val RUNNING_MILLIS = 2.0
+
+/** Delay that one waiting request stands for, in milliseconds. */
+private const val WAITING_MILLIS = 60.0
+
+/** Added for an engine in another data centre: its traffic and results cross between them. */
+private const val REMOTE_MILLIS = 30.0
+
+/** Share of a part's tokens that are counted as unread at its home without own knowledge. */
+private const val UNSEEN_AT_HOME = 0.4
+
+private const val USUAL_PERCENT = 100
+
+/** Age after which a report says nothing about the load of a target. */
+private val REPORT_LIFETIME: Duration = FAILURE_MEMORY
--- a/faults/src/main/kotlin/org/sapphirelever/faults/Hosts.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/Hosts.kt
@@ -33,10 +33,10 @@
 import org.sapphirelever.decisions.configuration.TargetListState
 import org.sapphirelever.decisions.configuration.on
 import org.sapphirelever.decisions.routing.RoutingState
-import org.sapphirelever.platform.LeaseResult
-import org.sapphirelever.platform.Platform
-import org.sapphirelever.platform.StoredValue
-import org.sapphirelever.platform.WriteResult
+import org.sapphirelever.runtime.store.LeaseResult
+import org.sapphirelever.runtime.store.Platform
+import org.sapphirelever.runtime.store.StoredValue
+import org.sapphirelever.runtime.store.WriteResult
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.capacity.CapacityController
 import org.sapphirelever.runtime.capacity.CapacitySettings
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/capacity/CapacityController.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/capacity/CapacityController.kt
@@ -37,7 +37,7 @@
 import org.sapphirelever.decisions.configuration.ConfigurationState
 import org.sapphirelever.decisions.lease.LeaseTerms
 import org.sapphirelever.decisions.routing.RoutingState
-import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.lease.LeaseHolder
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.wire.EngineState
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ConfigurationWriter.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ConfigurationWriter.kt
@@ -16,9 +16,9 @@
 import org.sapphirelever.decisions.configuration.WriteStep
 import org.sapphirelever.decisions.configuration.next
 import org.sapphirelever.decisions.configuration.on
-import org.sapphirelever.platform.Platform
-import org.sapphirelever.platform.StoredValue
-import org.sapphirelever.platform.WriteResult
+import org.sapphirelever.runtime.store.Platform
+import org.sapphirelever.runtime.store.StoredValue
+import org.sapphirelever.runtime.store.WriteResult
 import org.sapphirelever.wire.ConfigurationMessage
 import org.sapphirelever.wire.MessageJson
 import org.sapphirelever.wire.toConfiguration
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
@@ -17,8 +17,8 @@
 import org.sapphirelever.decisions.configuration.targetsFor
 import org.sapphirelever.decisions.membership.ownIsReaderCandidate
 import org.sapphirelever.decisions.routing.Target
-import org.sapphirelever.platform.ListedHost
-import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.store.ListedHost
+import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.lease.LeaseHolder
 import org.sapphirelever.runtime.peer.PeerProtocol
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/StartingConfiguration.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/StartingConfiguration.kt
@@ -11,7 +11,7 @@
 import kotlinx.serialization.SerializationException
 import org.sapphirelever.decisions.configuration.ConfigurationEvent
 import org.sapphirelever.decisions.configuration.on
-import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.peer.PeerProtocol
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -0,0 +1,166 @@
+/*
+ * A host that forwards requests of callers to targets, as one supervised process.
+ */
+package org.sapphirelever.runtime.forward
+
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.ExitCode
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.SystemMonotonicClock
+import org.sapphirelever.core.forwarding.HostProfile
+import org.sapphirelever.decisions.supervision.RestartPolicy
+import org.sapphirelever.decisions.supervision.Strategy
+import org.sapphirelever.runtime.host.GracefulShutdown
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.runtime.supervision.SupervisorFailedException
+import org.sapphirelever.runtime.supervision.supervisor
+import org.sapphirelever.runtime.transport.Header
+import org.sapphirelever.runtime.transport.Headers
+import org.sapphirelever.runtime.transport.HttpConnection
+import org.sapphirelever.runtime.transport.ResponseHead
+import org.sapphirelever.runtime.transport.Sockets
+
+/** Forwards requests under [profile]; messages are those of [protocol]. */
+public class ForwardingHost(
+    private val profile: HostProfile,
+    private val protocol: ForwardProtocol,
+    private val store: ForwardingStore,
+    private val sockets: Sockets,
+    private val clock: MonotonicClock = SystemMonotonicClock
+) {
+    private val shutdown =
+        GracefulShutdown(
+            BALANCER_DELAY,
+            profile.stopLimit - BALANCER_DELAY - STOP_RESERVE,
+            clock,
+            emptyList()
+        )
+    private val state = ForwardingState(profile, clock)
+    private val metrics = ForwardingMetrics(state)
+    private val feed = StoreFeed(store, state)
+
+    /** Begins a graceful stop. */
+    public fun signal() {
+        shutdown.signal()
+    }
+
+    /** Runs until a signal stops the host or its supervisor gives up. */
+    public suspend fun run(): ExitCode = coroutineScope {
+        logEvent("host-started") {
+            "host" to profile.host
+            "data-centre" to profile.dataCentre
+            "callers" to profile.callers
+        }
+        val tree =
+            async {
+                try {
+                    tree().run()
+                    ExitCode.SUCCESS
+                } catch (failure: SupervisorFailedException) {
+                    logWarning("host-gave-up") { "failure" to failure.cause }
+                    ExitCode.INTERNAL
+                }
+            }
+        val exit = async { shutdown.awaitExit() }
+        val code = select { listOf(tree, exit).forEach { ended -> ended.onAwait { it } } }
+        logEvent("host-stopped") { "code" to code.number }
+        exit.cancelAndJoin()
+        tree.cancel()
+        code
+    }
+
+    private fun tree() = supervisor("forwarding-host", ROOT_POLICY, clock) {
+        supervisor("store") {
+            child("feed") { feed.follow() }
+            child("announcement") { feed.announce() }
+        }
+        child("callers") { callers() }
+        child("readiness") { serveText(profile.readiness) { readiness() to ByteArray(0) } }
+        child("metrics") { serveText(profile.metrics) { OK to metrics.scrape() } }
+    }
+
+    private suspend fun callers(): Unit = coroutineScope {
+        // A failed stage call must not end the connections of callers.
+        val work = CoroutineScope(currentCoroutineContext() + SupervisorJob())
+        val pool = TargetPool(sockets, clock)
+        launch { pool.closeExpired() }
+        val calls = TargetCalls(pool, protocol, state)
+        val releases = ResultRelease(work, calls, protocol)
+        val stages = StageWork(work, calls, protocol, state, releases)
+        val forwarding = RequestForwarding(protocol, state, calls, stages, releases)
+        val connections =
+            CallerConnections(protocol, state, forwarding, shutdown, metrics)
+        try {
+            sockets.listen(profile.callers).use { it.run(connections::serve) }
+        } finally {
+            work.cancel()
+        }
+    }
+
+    private fun readiness(): Int {
+        val belief = state.belief.value
+        val fresh = belief.age(state.moment())?.let { it < READY_AGE } == true
+        val hasTargets = state.directory.value.targets.isNotEmpty()
+        val ready = shutdown.announcesReady && fresh && belief.table != null && hasTargets
+        return if (ready) OK else UNAVAILABLE
+    }
+
+    /** Answers each request on [endpoint] with a status and a body, whatever its path. */
+    private suspend fun serveText(endpoint: Endpoint, answer: () -> Pair<Int, ByteArray>) {
+        sockets.listen(endpoint).use { listener ->
+            listener.run { connection -> serveText(connection, answer) }
+        }
+    }
+
+    private suspend fun serveText(
+        connection: HttpConnection,
+        answer: () -> Pair<Int, ByteArray>
+    ) {
+        while (true) {
+            connection.receiveRequest() ?: return
+            val (status, body) = answer()
+            val type = Header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+            val head = ResponseHead(status, "Answer", Headers(persistentListOf(type)))
+            CallerAnswer(connection, withoutBody = false) { true }.whole(head, body)
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+
+        /** The balancer asks each second and takes a host out after two misses. */
+        val BALANCER_DELAY = 3.seconds
+
+        /** Left of the time to stop for the end of the process itself. */
+        val STOP_RESERVE = 500.milliseconds
+
+        /**
+         * Below the age at which keys are refused, so that the balancer sends callers elsewhere
+         * before.
+         */
+        val READY_AGE = 3.seconds
+
+        /** Counts over five minutes, since nested supervisors give up only after 26 s. */
+        val ROOT_POLICY =
+            RestartPolicy(
+                strategy = Strategy.ONE_FOR_ONE,
+                restarts = 3,
+                window = 5.minutes
+            )
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -0,0 +1,86 @@
+/*
+ * State that the requests of one host share. Each cell holds one immutable value.
+ */
+package org.sapphirelever.runtime.forward
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.sapphirelever.core.HostId
+import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.HostProfile
+import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.ConfigurationBelief
+import org.sapphirelever.decisions.forwarding.LoadReport
+import org.sapphirelever.decisions.forwarding.Moment
+import org.sapphirelever.decisions.forwarding.RetryBounds
+import org.sapphirelever.decisions.forwarding.SharedRetryBudget
+import org.sapphirelever.decisions.forwarding.TargetDirectory
+import org.sapphirelever.decisions.forwarding.TargetView
+import org.sapphirelever.decisions.suspicion.SuspicionState
+import org.sapphirelever.runtime.StateCell
+
+/** Shared state of the forwarding front end of the host with [profile]. */
+public class ForwardingState(public val profile: HostProfile, public val clock: MonotonicClock) {
+    public val belief: StateCell<ConfigurationBelief> = StateCell(ConfigurationBelief())
+    public val directory: StateCell<TargetDirectory> = StateCell(TargetDirectory())
+    public val hosts: StateCell<PersistentSet<HostId>> = StateCell(persistentSetOf(profile.host))
+    public val suspicion: StateCell<SuspicionState> = StateCell(SuspicionState())
+    private val views: StateCell<PersistentMap<TargetId, TargetView>> =
+        StateCell(persistentMapOf())
+    private val budget: StateCell<SharedRetryBudget> =
+        StateCell(
+            SharedRetryBudget(
+                RetryBounds(profile.retryRatio, profile.retryExtra, profile.retryWindow)
+            )
+        )
+
+    /** What this host knows of each target. */
+    public val targetViews: PersistentMap<TargetId, TargetView> get() = views.value
+
+    public fun moment(): Moment = Moment(clock.now(), System.currentTimeMillis())
+
+    public fun usable(service: ServiceName): List<TargetRecord> =
+        directory.value.usable(service, clock.now())
+
+    /** Changes what this host knows of [target]. */
+    public fun view(target: TargetId, change: (TargetView) -> TargetView) {
+        views.update { it.put(target, change(it[target] ?: TargetView())) }
+    }
+
+    /** Forgets a target, which ended or started anew. */
+    public fun forget(target: TargetId) {
+        views.update { it.remove(target) }
+    }
+
+    public fun reported(target: TargetId, load: ReportedLoad) {
+        val report =
+            LoadReport(load.running, load.waiting, load.slots, load.slownessPercent, clock.now())
+        view(target) { it.copy(report = report) }
+    }
+
+    public fun succeeded(target: TargetId) {
+        if (targetViews[target]?.failedAt == null) return
+        view(target) { it.copy(failures = 0, failedAt = null) }
+    }
+
+    public fun failed(target: TargetId) {
+        view(target) { it.copy(failures = it.failures + 1, failedAt = clock.now()) }
+    }
+
+    /** Counts a request for [service], from which the budget of extra calls is earned. */
+    public fun countRequest(service: ServiceName) {
+        budget.update { it.counted(service, clock.now(), requests = 1) }
+    }
+
+    /** Takes one extra call to [service] from the budget, if there is one. */
+    public fun takeExtraCall(service: ServiceName): Boolean {
+        val now = clock.now()
+        if (!budget.value.permits(service, hosts.value.size, now)) return false
+        budget.update { it.counted(service, now, extra = 1) }
+        return true
+    }
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -23,7 +23,7 @@
 import org.sapphirelever.decisions.routing.TargetPolicy
 import org.sapphirelever.decisions.supervision.RestartPolicy
 import org.sapphirelever.decisions.supervision.Strategy
-import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.capacity.CapacityController
 import org.sapphirelever.runtime.capacity.CapacitySettings
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/lease/LeaseHolder.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/lease/LeaseHolder.kt
@@ -12,8 +12,8 @@
 import org.sapphirelever.decisions.lease.LeaseState
 import org.sapphirelever.decisions.lease.LeaseTerms
 import org.sapphirelever.decisions.lease.on
-import org.sapphirelever.platform.LeaseResult
-import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.store.LeaseResult
+import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerNetwork.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerNetwork.kt
@@ -12,7 +12,7 @@
 import org.sapphirelever.decisions.membership.Member
 import org.sapphirelever.decisions.membership.MemberId
 import org.sapphirelever.decisions.routing.Target
-import org.sapphirelever.platform.Platform
+import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.feed.ElectedReader
 import org.sapphirelever.runtime.feed.StartingConfiguration
 import org.sapphirelever.runtime.host.HostSettings
--- a/platform/src/main/kotlin/org/sapphirelever/platform/HttpPlatform.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/store/HttpPlatform.kt
@@ -2,7 +2,7 @@
  * HTTP client of the platform. It performs no retries: the caller decides, since a repeated write
  * is safe only after a read.
  */
-package org.sapphirelever.platform
+package org.sapphirelever.runtime.store
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
--- a/platform/src/main/kotlin/org/sapphirelever/platform/Platform.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/store/Platform.kt
@@ -2,7 +2,7 @@
  * The platform's key-value service, host list and weight store, as the system uses them. Replies
  * distinguish "did not happen" from "not known", since a reply can be lost after a write.
  */
-package org.sapphirelever.platform
+package org.sapphirelever.runtime.store
 
 import kotlin.time.Duration
 import org.sapphirelever.core.FencingNumber
--- a/platform/src/main/kotlin/org/sapphirelever/platform/PlatformMessages.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/store/PlatformMessages.kt
@@ -1,7 +1,7 @@
 /*
  * Messages of the platform's HTTP interface, as JSON. docs/platform.md describes the protocol.
  */
-package org.sapphirelever.platform
+package org.sapphirelever.runtime.store
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/Sockets.kt
@@ -0,0 +1,96 @@
+/*
+ * Opening and accepting of connections.
+ */
+package org.sapphirelever.runtime.transport
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import java.io.Closeable
+import java.io.IOException
+import kotlin.time.Duration
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.runtime.log.logWarning
+
+/** Sockets of one process, over one selector. */
+public class Sockets : Closeable {
+    private val selector = SelectorManager(Dispatchers.IO)
+
+    /** Connects to [endpoint]; throws [IOException] when there is no connection in [limit]. */
+    public suspend fun connect(endpoint: Endpoint, limit: Duration): HttpConnection {
+        val address = InetSocketAddress(endpoint.address, endpoint.port)
+        val socket =
+            try {
+                withTimeoutOrNull(limit) {
+                    aSocket(selector).tcp().connect(address) { noDelay = true }
+                }
+            } catch (cancelled: CancellationException) {
+                currentCoroutineContext().ensureActive()
+                throw IOException("connection to $endpoint failed", cancelled)
+            }
+        return HttpConnection(socket ?: throw IOException("no connection to $endpoint in $limit"))
+    }
+
+    /** Listens on [endpoint]. */
+    public suspend fun listen(endpoint: Endpoint): Listener {
+        val address = InetSocketAddress(endpoint.address, endpoint.port)
+        val server =
+            aSocket(selector).tcp().configure { reuseAddress = true }.bind(address) {
+                backlogSize = BACKLOG
+            }
+        return Listener(server)
+    }
+
+    override fun close() {
+        selector.close()
+    }
+
+    private companion object {
+        /** Connections that may wait to be accepted; a full queue costs a caller seconds. */
+        const val BACKLOG = 1_024
+    }
+}
+
+/** Accepts connections on one address. */
+public class Listener(private val server: ServerSocket) : Closeable {
+    /** Runs [serve] in a task of its own for each connection, until this listener is closed. */
+    public suspend fun run(serve: suspend (HttpConnection) -> Unit): Unit = coroutineScope {
+        while (true) {
+            val socket = server.accept()
+            launch { serveGuarded(socket, serve) }
+        }
+    }
+
+    override fun close() {
+        server.close()
+    }
+
+    private suspend fun CoroutineScope.serveGuarded(
+        socket: Socket,
+        serve: suspend (HttpConnection) -> Unit
+    ) {
+        val connection = HttpConnection(socket)
+        try {
+            serve(connection)
+        } catch (cancelled: CancellationException) {
+            ensureActive()
+            logWarning("connection-failed") { "failure" to cancelled }
+        } catch (_: IOException) {
+            // The caller closed or reset its connection; the request itself was logged.
+        } catch (failure: Exception) {
+            logWarning("connection-failed") { "failure" to failure }
+        } finally {
+            connection.close()
+        }
+    }
+}
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/feed/FakePlatform.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/feed/FakePlatform.kt
@@ -7,11 +7,11 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.FencingNumber
-import org.sapphirelever.platform.LeaseResult
-import org.sapphirelever.platform.ListedHost
-import org.sapphirelever.platform.Platform
-import org.sapphirelever.platform.StoredValue
-import org.sapphirelever.platform.WriteResult
+import org.sapphirelever.runtime.store.LeaseResult
+import org.sapphirelever.runtime.store.ListedHost
+import org.sapphirelever.runtime.store.Platform
+import org.sapphirelever.runtime.store.StoredValue
+import org.sapphirelever.runtime.store.WriteResult
 
 /** What the platform does with one compare-and-swap. */
 enum class SwapFault { NONE, REPLY_LOST, NOT_DONE_AND_REPLY_LOST, REFUSED }
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
@@ -30,8 +30,8 @@
 import org.sapphirelever.decisions.attempt.AnswerIdentity
 import org.sapphirelever.decisions.attempt.AttemptResult
 import org.sapphirelever.decisions.attempt.StageAnswer
-import org.sapphirelever.platform.ListedHost
-import org.sapphirelever.platform.StoredValue
+import org.sapphirelever.runtime.store.ListedHost
+import org.sapphirelever.runtime.store.StoredValue
 import org.sapphirelever.runtime.feed.FakePlatform
 import org.sapphirelever.runtime.target.CallResult
 import org.sapphirelever.runtime.target.TargetCall
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/peer/EntryHostsTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/peer/EntryHostsTest.kt
@@ -29,7 +29,7 @@
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.Incarnation
 import org.sapphirelever.core.Revision
-import org.sapphirelever.platform.ListedHost
+import org.sapphirelever.runtime.store.ListedHost
 import org.sapphirelever.runtime.feed.FakePlatform
 import org.sapphirelever.runtime.host.EntryHost
 import org.sapphirelever.runtime.host.HostSettings
--- a/standins/src/main/kotlin/org/sapphirelever/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/sapphirelever/standins/EngineStandIn.kt
@@ -20,8 +20,8 @@
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.MonotonicClock
-import org.sapphirelever.platform.WeightResult
-import org.sapphirelever.platform.WeightStore
+import org.sapphirelever.runtime.store.WeightResult
+import org.sapphirelever.runtime.store.WeightStore
 import org.sapphirelever.wire.EngineState
 import org.sapphirelever.wire.RunMessage
 
--- a/standins/src/main/kotlin/org/sapphirelever/standins/MemoryPlatform.kt
+++ b/standins/src/main/kotlin/org/sapphirelever/standins/MemoryPlatform.kt
@@ -10,12 +10,12 @@
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.decisions.Decision
-import org.sapphirelever.platform.LeaseRequestMessage
-import org.sapphirelever.platform.LeaseResult
-import org.sapphirelever.platform.ListedHost
-import org.sapphirelever.platform.Platform
-import org.sapphirelever.platform.StoredValue
-import org.sapphirelever.platform.WriteResult
+import org.sapphirelever.runtime.store.LeaseRequestMessage
+import org.sapphirelever.runtime.store.LeaseResult
+import org.sapphirelever.runtime.store.ListedHost
+import org.sapphirelever.runtime.store.Platform
+import org.sapphirelever.runtime.store.StoredValue
+import org.sapphirelever.runtime.store.WriteResult
 import org.sapphirelever.runtime.StateCell
 
 /** Platform in memory; [faults] applies to each later call. */
--- a/standins/src/main/kotlin/org/sapphirelever/standins/PlatformState.kt
+++ b/standins/src/main/kotlin/org/sapphirelever/standins/PlatformState.kt
@@ -17,10 +17,10 @@
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.decisions.Decision
 import org.sapphirelever.decisions.decide
-import org.sapphirelever.platform.LeaseMessage
-import org.sapphirelever.platform.LeaseRequestMessage
-import org.sapphirelever.platform.ListedHostMessage
-import org.sapphirelever.platform.ValueMessage
+import org.sapphirelever.runtime.store.LeaseMessage
+import org.sapphirelever.runtime.store.LeaseRequestMessage
+import org.sapphirelever.runtime.store.ListedHostMessage
+import org.sapphirelever.runtime.store.ValueMessage
 
 /** Kind of a call, as the counts name it. */
 public enum class PlatformCall(public val text: String, internal val write: Boolean = false) {
--- a/standins/src/test/kotlin/org/sapphirelever/standins/HttpPlatformTest.kt
+++ b/standins/src/test/kotlin/org/sapphirelever/standins/HttpPlatformTest.kt
@@ -10,12 +10,12 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import org.sapphirelever.core.FencingNumber
-import org.sapphirelever.platform.HttpPlatform
-import org.sapphirelever.platform.LeaseResult
-import org.sapphirelever.platform.ListedHostMessage
-import org.sapphirelever.platform.StoredValue
-import org.sapphirelever.platform.WeightResult
-import org.sapphirelever.platform.WriteResult
+import org.sapphirelever.runtime.store.HttpPlatform
+import org.sapphirelever.runtime.store.LeaseResult
+import org.sapphirelever.runtime.store.ListedHostMessage
+import org.sapphirelever.runtime.store.StoredValue
+import org.sapphirelever.runtime.store.WeightResult
+import org.sapphirelever.runtime.store.WriteResult
 
 /** Guards against a client that takes an ambiguous reply for a refusal or for a success. */
 class HttpPlatformTest {
--- a/standins/src/test/kotlin/org/sapphirelever/standins/TargetStandInTest.kt
+++ b/standins/src/test/kotlin/org/sapphirelever/standins/TargetStandInTest.kt
@@ -20,7 +20,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.encodeToString
 import org.sapphirelever.core.Endpoint
-import org.sapphirelever.platform.WeightResult
+import org.sapphirelever.runtime.store.WeightResult
 import org.sapphirelever.wire.CacheEventMessage
 import org.sapphirelever.wire.EngineState
 import org.sapphirelever.wire.EngineStateMessage
