Read chunked bodies strictly

Change: chunks are read by BodyReader, which requires the last chunk. HttpConnectionTest failed first in the case 'no last chunk'; resets and short bodies were ruled out by its other cases.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -95,10 +95,8 @@
         val framing = head.headers.requestFraming()
         if (framing == Framing.Empty) return NO_BODY
         if (head.headers.hasToken("Expect", "100-continue")) connection.write(CONTINUE)
-        return coroutineScope {
-            withTimeoutOrNull(limits.idleTime) {
-                connection.body(framing, this).readWhole(limits.bodyBytes)
-            }
+        return withTimeoutOrNull(limits.idleTime) {
+            connection.body(framing).readWhole(limits.bodyBytes)
         }
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -95,7 +95,7 @@
             val reply = protocol.decode(head)
             reply.load?.let { state.reported(target.id, it) }
             val framing = head.headers.responseFraming(request.head.method, head.status)
-            val body = TrackedBody(connection.body(framing, this))
+            val body = TrackedBody(connection.body(framing))
             val value = use(OpenResponse(head, reply, body))
             val ended = body.isWhole && sending.isCompleted
             reusable = ended && framing != Framing.UntilClose && !head.closes
@@ -130,7 +130,7 @@
                 val answers = protocol.decode(head).request
                 if (id == null || answers == null || answers == id) return head
                 val framing = head.headers.responseFraming(request.head.method, head.status)
-                val stray = connection.body(framing, this)
+                val stray = connection.body(framing)
                 while (stray.next() != null) ensureActive()
             }
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/BodyReader.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/BodyReader.kt
@@ -3,14 +3,13 @@
  */
 package org.sapphirelever.runtime.transport
 
-import io.ktor.http.cio.decodeChunked
 import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.LineEnding
 import io.ktor.utils.io.readAvailable
-import io.ktor.utils.io.writer
+import io.ktor.utils.io.readLineStrict
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 
@@ -33,14 +32,10 @@
     return collected.toByteArray()
 }
 
-internal fun bodyReader(
-    input: ByteReadChannel,
-    framing: Framing,
-    scope: CoroutineScope
-): BodyReader = when (framing) {
+internal fun bodyReader(input: ByteReadChannel, framing: Framing): BodyReader = when (framing) {
     Framing.Empty -> LengthBody(input, 0)
     is Framing.Length -> LengthBody(input, framing.bytes)
-    Framing.Chunked -> ChunkedBody(scope.writer { decodeChunked(input, channel) }.channel)
+    Framing.Chunked -> ChunkedBody(input)
     Framing.UntilClose -> OpenBody(input)
 }
 
@@ -55,8 +50,63 @@
     }
 }
 
-private class ChunkedBody(private val decoded: ByteReadChannel) : BodyReader {
-    override suspend fun next(): ByteArray? = decoded.part(PART_BYTES) ?: decoded.endIfWhole()
+/**
+ * Ktor's decoder takes the end of the connection for the end of the body, so the chunks are read
+ * here.
+ */
+private class ChunkedBody(private val input: ByteReadChannel) : BodyReader {
+    private var left = 0L
+    private var ended = false
+
+    override suspend fun next(): ByteArray? {
+        if (ended) return null
+        if (left == 0L) left = chunkSize()
+        if (left == 0L) {
+            skipTrailer()
+            ended = true
+            return null
+        }
+        val part =
+            input.part(minOf(left, PART_BYTES.toLong()).toInt())
+                ?: throw TornMessageException("chunk ended $left bytes early", input.closedCause)
+        left -= part.size
+        if (left == 0L && line().isNotEmpty()) throw TornMessageException("chunk without end")
+        return part
+    }
+
+    private suspend fun chunkSize(): Long {
+        val digits = line().substringBefore(';').trim()
+        val valid = digits.length in SIZE_DIGITS && digits.all { it.isHexadecimal() }
+        if (!valid) throw TornMessageException("invalid chunk size")
+        return digits.toLong(HEXADECIMAL)
+    }
+
+    private suspend fun skipTrailer() {
+        while (line().isNotEmpty()) continue
+    }
+
+    private suspend fun line(): String {
+        val line =
+            try {
+                input.readLineStrict(LINE_LIMIT, LineEnding.Lenient)
+            } catch (cancelled: CancellationException) {
+                currentCoroutineContext().ensureActive()
+                throw TornMessageException("chunk torn", cancelled)
+            } catch (failure: IOException) {
+                throw TornMessageException("chunk torn", failure)
+            }
+        return line ?: throw TornMessageException("body ended without its last chunk")
+    }
+
+    private fun Char.isHexadecimal(): Boolean =
+        this in '0'..'9' || this in 'a'..'f' || this in 'A'..'F'
+
+    private companion object {
+        /** More digits would name chunks beyond any limit of a body. */
+        val SIZE_DIGITS = 1..15
+        const val HEXADECIMAL = 16
+        const val LINE_LIMIT = 8_192L
+    }
 }
 
 private class OpenBody(private val input: ByteReadChannel) : BodyReader {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
@@ -16,7 +16,6 @@
 import java.io.IOException
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 
@@ -44,9 +43,8 @@
         parsed.use { ResponseHead(it.status, it.statusText.toString(), headersOf(it.headers)) }
     }
 
-    /** Reader of a body with [framing] that lives in [scope]. */
-    public fun body(framing: Framing, scope: CoroutineScope): BodyReader =
-        bodyReader(input, framing, scope)
+    /** Reader of a body with [framing]. */
+    public fun body(framing: Framing): BodyReader = bodyReader(input, framing)
 
     /** Writes [bytes] and hands them to the socket. */
     public suspend fun write(vararg bytes: ByteArray) {
--- /dev/null
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/transport/HttpConnectionTest.kt
@@ -0,0 +1,99 @@
+/*
+ * Responses over real sockets. Each case guards against a body that looks whole and is not.
+ */
+package org.sapphirelever.runtime.transport
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.concurrent.thread
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.runBlocking
+import org.sapphirelever.core.Endpoint
+
+class HttpConnectionTest {
+    /** What a target sends, and whether it resets the connection afterwards. */
+    private data class Case(
+        val name: String,
+        val sent: String,
+        val resets: Boolean,
+        val expected: String?
+    )
+
+    private val cases =
+        listOf(
+            Case("length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false, "body"),
+            Case("short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", false, null),
+            Case("until close", "HTTP/1.1 200 OK\r\n\r\nbody", false, "body"),
+            Case("reset before close", "HTTP/1.1 200 OK\r\n\r\nbody", true, null),
+            Case(
+                "chunks",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                false,
+                "body"
+            ),
+            Case(
+                "no last chunk",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+                false,
+                null
+            ),
+            Case(
+                "inside a chunk",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbody",
+                false,
+                null
+            ),
+            Case(
+                "reset inside chunks",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+                true,
+                null
+            ),
+            Case("no response", "garbage\r\n\r\n", false, null)
+        )
+
+    @Test
+    fun `a body is whole only if its framing says so`() {
+        cases.forEach { case -> assertEquals(case.expected, received(case), case.name) }
+    }
+
+    private fun received(case: Case): String? =
+        ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { server ->
+            val sender = thread { send(server, case) }
+            val body = runBlocking { receive(Endpoint("127.0.0.1", server.localPort)) }
+            sender.join()
+            body
+        }
+
+    private fun send(server: ServerSocket, case: Case) {
+        server.accept().use { socket ->
+            socket.getOutputStream().write(case.sent.toByteArray())
+            socket.getOutputStream().flush()
+            if (case.resets) {
+                Thread.sleep(RESET_DELAY_MILLIS)
+                socket.setSoLinger(true, 0)
+            }
+        }
+    }
+
+    private suspend fun receive(endpoint: Endpoint): String? = Sockets().use { sockets ->
+        sockets.connect(endpoint, 5.seconds).use { connection ->
+            try {
+                val head = connection.receiveResponse()
+                val framing = head.headers.responseFraming("GET", head.status)
+                connection.body(framing).readWhole(LIMIT)?.decodeToString()
+            } catch (_: TornMessageException) {
+                null
+            }
+        }
+    }
+
+    private companion object {
+        const val LIMIT = 1_000
+
+        /** Lets the bytes arrive before the reset, which would otherwise discard them. */
+        const val RESET_DELAY_MILLIS = 100L
+    }
+}
