Pool stage work at one host for each service

Cause: each call for stage work costs 200 ms besides its pieces. With 6 to 8 hosts that batch on their own, batches held one or two pieces, the targets were saturated, and results found no room at their makers. Change: each service is assigned to one host by rendezvous rank; it makes the calls for all hosts over links of Ktor sockets with CBOR, keeps account of the room at each target, and a host that cannot reach it within 450 ms makes its own calls.

--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
@@ -14,6 +14,7 @@
  * @property callers address on which callers connect
  * @property readiness address on which the balancer asks whether to send new connections
  * @property metrics address on which metrics are served
+ * @property peers address on which other hosts connect
  * @property store address of the platform's store
  * @property stopLimit time between the stop signal and the end of the process by force
  * @property revocationLimit time after which a withdrawn key must not be accepted anywhere
@@ -28,6 +29,7 @@
     public val callers: Endpoint,
     public val readiness: Endpoint,
     public val metrics: Endpoint,
+    public val peers: Endpoint,
     public val store: Endpoint,
     public val stopLimit: Duration,
     public val revocationLimit: Duration,
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
@@ -64,11 +64,15 @@
     }
 }
 
-/** Chooses among [candidates]; null when there is none. */
+/** Size of stage results by the data centre that keeps them. */
+public typealias ResultBytes = Map<DataCentre, Long>
+
+/** Chooses among [candidates] for a request whose stage [results] the engine fetches. */
 public fun chooseEngine(
     candidates: List<TargetRecord>,
     views: Map<TargetId, TargetView>,
     prompt: PromptShape,
+    results: ResultBytes,
     here: DataCentre,
     now: MonotonicTime
 ): TargetRecord? {
@@ -77,7 +81,9 @@
     return sound.minByOrNull { engine ->
         val view = views[engine.id] ?: TargetView()
         val distance = if (engine.dataCentre == here) 0.0 else REMOTE_MILLIS
-        expectedMillis(view, prompt, engine.id == home, now) + distance
+        val crossing = results.filterKeys { it != engine.dataCentre }.values.sum()
+        expectedMillis(view, prompt, engine.id == home, now) + distance +
+            crossing * REMOTE_MILLIS_PER_MEGABYTE / BYTES_PER_MEGABYTE
     }
 }
 
@@ -118,8 +124,12 @@
 /** Delay that one waiting request stands for, in milliseconds. */
 private const val WAITING_MILLIS = 60.0
 
-/** Added for an engine in another data centre: its traffic and results cross between them. */
-private const val REMOTE_MILLIS = 30.0
+/** Added for an engine in another data centre, since its events cross between them. */
+private const val REMOTE_MILLIS = 15.0
+
+/** Added for each megabyte of results that crosses between data centres to the engine. */
+private const val REMOTE_MILLIS_PER_MEGABYTE = 60.0
+private const val BYTES_PER_MEGABYTE = 1_000_000.0
 
 /** Share of a part's tokens that are counted as unread at its home without own knowledge. */
 private const val UNSEEN_AT_HOME = 0.4
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -23,18 +23,24 @@
  *
  * @property number identity of the waiting piece, unique in this process
  * @property due moment after which the result is of no use
+ * @property excluded target that failed to make the piece before
+ * @property bytes approximate size of the result
+ * @property origin data centre of the request, where the result is probably fetched
  */
 public data class WaitingPiece(
     public val number: Long,
     public val rank: Int,
     public val due: MonotonicTime,
-    public val excluded: TargetId? = null
+    public val excluded: TargetId? = null,
+    public val bytes: Long = 0,
+    public val origin: DataCentre? = null
 )
 
 /** Start of a call to [target] with the pieces of these [numbers]. */
 public data class StageCall(
     public val target: TargetRecord,
-    public val numbers: PersistentList<Long>
+    public val numbers: PersistentList<Long>,
+    public val bytes: Long = 0
 )
 
 /** What a decision about pieces depends on besides the queue. */
@@ -44,15 +50,20 @@
     public val candidates: List<TargetRecord>,
     public val views: Map<TargetId, TargetView>,
     public val hosts: Int,
-    public val here: DataCentre,
     public val host: String,
     public val now: MonotonicTime
 )
 
-/** Waiting pieces of one service and its calls in progress, by target. */
+/**
+ * Waiting pieces of one service.
+ *
+ * @property calls calls in progress, by target
+ * @property bytes size of the results that targets keep or are making, by target
+ */
 public data class PieceQueue(
     public val waiting: PersistentList<WaitingPiece> = persistentListOf(),
-    public val calls: PersistentMap<TargetId, Int> = persistentMapOf()
+    public val calls: PersistentMap<TargetId, Int> = persistentMapOf(),
+    public val bytes: PersistentMap<TargetId, Long> = persistentMapOf()
 )
 
 /** Adds [pieces] and starts calls as far as permitted. */
@@ -68,14 +79,24 @@
 public fun PieceQueue.remove(numbers: Set<Long>): PieceQueue =
     copy(waiting = waiting.filterNot { it.number in numbers }.toPersistentList())
 
-/** Notes the end of a call to [target] and starts the next ones. */
+/** Notes that results of [size] bytes at [target] take no more room. */
+public fun PieceQueue.released(target: TargetId, size: Long): PieceQueue {
+    val left = (bytes[target] ?: 0) - size
+    return copy(bytes = if (left > 0) bytes.put(target, left) else bytes.remove(target))
+}
+
+/**
+ * Notes the end of a call to [target], whose results lack [unmade] bytes of what was expected, and
+ * starts the next ones.
+ */
 public fun PieceQueue.ended(
     target: TargetId,
+    unmade: Long,
     context: PieceContext
 ): Decision<PieceQueue, StageCall> {
     val left = (calls[target] ?: 0) - 1
     val counted = if (left > 0) calls.put(target, left) else calls.remove(target)
-    return copy(calls = counted).start(context)
+    return copy(calls = counted).released(target, unmade).start(context)
 }
 
 /** Starts as many calls as this host may have in progress. */
@@ -84,10 +105,10 @@
     val started = mutableListOf<StageCall>()
     while (queue.waiting.isNotEmpty() && queue.calls.values.sum() < callLimit(context)) {
         val call = queue.nextCall(context) ?: break
-        val taken = call.numbers.toSet()
         val target = call.target.id
-        queue = queue.remove(taken).copy(
-            calls = queue.calls.put(target, (queue.calls[target] ?: 0) + 1)
+        queue = queue.remove(call.numbers.toSet()).copy(
+            calls = queue.calls.put(target, (queue.calls[target] ?: 0) + 1),
+            bytes = queue.bytes.put(target, (queue.bytes[target] ?: 0) + call.bytes)
         )
         started += call
     }
@@ -104,21 +125,49 @@
     return kotlin.math.ceil(share).toInt().coerceAtLeast(1)
 }
 
+/** The next call: to the target that suits the first waiting piece that has room somewhere. */
 private fun PieceQueue.nextCall(context: PieceContext): StageCall? {
-    val first = waiting.first()
     val free = context.candidates.filter { (calls[it.id] ?: 0) < context.limits.slots }
-    val permitted = free.filter { it.id != first.excluded }.ifEmpty { free }
-    val target = permitted.minByOrNull { expectedCalls(it, context) } ?: return null
-    return StageCall(target, waiting.take(context.limits.batch).map { it.number }.toPersistentList())
+    return free
+        .mapNotNull { target -> callTo(target, context)?.let { target to it } }
+        .minByOrNull { (target, pieces) -> expectedCalls(target, pieces, context) }
+        ?.let { (target, pieces) ->
+            val numbers = pieces.map { it.number }.toPersistentList()
+            StageCall(target, numbers, pieces.sumOf { it.bytes })
+        }
+}
+
+/** The pieces of a call to [target]: the first ones that it has room for. */
+private fun PieceQueue.callTo(target: TargetRecord, context: PieceContext): List<WaitingPiece>? {
+    val share = context.limits.roomBytes / context.hosts.coerceAtLeast(1) * ROOM_IN_USE
+    var room = share - (bytes[target.id] ?: 0)
+    val unused = (bytes[target.id] ?: 0) == 0L
+    val alone = context.candidates.size == 1
+    val taken = mutableListOf<WaitingPiece>()
+    for (piece in waiting) {
+        if (taken.size >= context.limits.batch) break
+        val fits = piece.bytes <= room || (unused && taken.isEmpty())
+        if (!fits || (piece.excluded == target.id && !alone)) continue
+        taken += piece
+        room -= piece.bytes
+    }
+    return taken.ifEmpty { null }
 }
 
 /** Calls that a new call to [target] is expected to wait for, with a preference for near ones. */
-private fun expectedCalls(target: TargetRecord, context: PieceContext): Double {
+private fun expectedCalls(
+    target: TargetRecord,
+    pieces: List<WaitingPiece>,
+    context: PieceContext
+): Double {
+    val crossing = pieces.filter { it.origin != target.dataCentre }
+    val megabytes = crossing.sumOf { it.bytes } / pieces.size / BYTES_PER_MEGABYTE
     val view = context.views[target.id] ?: TargetView()
     val report = view.report?.takeIf { context.now - it.at < REPORT_LIFETIME }
     val ahead = report?.let { it.running + it.waiting }?.toDouble() ?: UNKNOWN_CALLS
     val suspect = if (view.isSuspect(context.now)) SUSPECT_CALLS else 0.0
-    val distance = if (target.dataCentre == context.here) 0.0 else REMOTE_CALLS
+    val distance =
+        megabytes * REMOTE_CALLS_PER_MEGABYTE + REMOTE_CALLS * crossing.size / pieces.size
     // Hosts prefer different targets, so that they do not all call the same one at once.
     val preference = rendezvousRank(context.host, target.id.value).mod(PREFERENCES) * TIE_CALLS
     return ahead + suspect + distance + preference
@@ -130,7 +179,16 @@
 /** Load assumed of a target that has not reported lately. */
 private const val UNKNOWN_CALLS = 0.5
 private const val SUSPECT_CALLS = 10.0
-private const val REMOTE_CALLS = 0.4
+
+/** Calls that a near target may have ahead of a far one, for results of no size. */
+private const val REMOTE_CALLS = 0.1
+
+/** Part of the room of a target that is used; sizes of results are approximate. */
+private const val ROOM_IN_USE = 0.9
+
+/** The same for each megabyte of an average result, which crosses to the model's data centre. */
+private const val REMOTE_CALLS_PER_MEGABYTE = 0.4
+private const val BYTES_PER_MEGABYTE = 1_000_000.0
 private const val TIE_CALLS = 0.02
 private const val PREFERENCES = 8L
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -19,6 +19,7 @@
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.ExitCode
 import org.sapphirelever.core.MonotonicClock
+import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.SystemMonotonicClock
 import org.sapphirelever.core.forwarding.HostProfile
 import org.sapphirelever.decisions.supervision.RestartPolicy
@@ -26,6 +27,7 @@
 import org.sapphirelever.runtime.host.GracefulShutdown
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.runtime.peer.PeerConnection
 import org.sapphirelever.runtime.supervision.SupervisorFailedException
 import org.sapphirelever.runtime.supervision.supervisor
 import org.sapphirelever.runtime.transport.Header
@@ -100,8 +102,12 @@
         launch { pool.closeExpired() }
         val calls = TargetCalls(pool, protocol, state)
         val releases = ResultRelease(work, calls, protocol)
-        val stages = StageWork(work, calls, protocol, state, releases)
-        val forwarding = RequestForwarding(protocol, state, calls, stages, releases)
+        val local = LocalPieces(work, calls, protocol, state, releases, ::sharers)
+        val pieces = PooledPieces(local, PieceLinks(work, sockets, state), state)
+        val stages = StageWork(pieces, state)
+        val forwarding = RequestForwarding(protocol, state, calls, stages, pieces)
+        val server = PieceServer(local, state)
+        launch { sockets.listen(profile.peers).use { it.runSockets { socket -> PeerConnection(socket).use { peer -> server.serve(peer) } } } }
         val connections =
             CallerConnections(protocol, state, forwarding, shutdown, metrics)
         try {
@@ -111,6 +117,12 @@
         }
     }
 
+    /** Hosts that make calls to [service]: this one alone if the service is assigned to it. */
+    private fun sharers(service: ServiceName): Int {
+        val hosts = state.hosts.value.keys
+        return if (assignedHost(service, hosts) == profile.host) 1 else hosts.size
+    }
+
     private fun readiness(): Int {
         val belief = state.belief.value
         val fresh = belief.age(state.moment())?.let { it < READY_AGE } == true
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -4,9 +4,8 @@
 package org.sapphirelever.runtime.forward
 
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
+import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.ServiceName
@@ -27,7 +26,10 @@
 public class ForwardingState(public val profile: HostProfile, public val clock: MonotonicClock) {
     public val belief: StateCell<ConfigurationBelief> = StateCell(ConfigurationBelief())
     public val directory: StateCell<TargetDirectory> = StateCell(TargetDirectory())
-    public val hosts: StateCell<PersistentSet<HostId>> = StateCell(persistentSetOf(profile.host))
+
+    /** Hosts that take callers' requests, with the address for other hosts. */
+    public val hosts: StateCell<PersistentMap<HostId, Endpoint>> =
+        StateCell(persistentMapOf(profile.host to profile.peers))
     public val suspicion: StateCell<SuspicionState> = StateCell(SuspicionState())
     private val views: StateCell<PersistentMap<TargetId, TargetView>> =
         StateCell(persistentMapOf())
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -5,6 +5,7 @@
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.ForwardingConfiguration
@@ -19,7 +20,8 @@
 
     public data class TargetGone(public val target: TargetId) : StoreFact
 
-    public data class Host(public val host: HostId) : StoreFact
+    /** A host and its address for other hosts. */
+    public data class Host(public val host: HostId, public val peers: Endpoint) : StoreFact
 
     public data class HostGone(public val host: HostId) : StoreFact
 
@@ -56,7 +58,7 @@
     public suspend fun changes(revision: Long): StoreFacts?
 
     /** Announces [host] until the lease ends. */
-    public suspend fun announce(host: HostId, lifetime: Duration): StoreLease
+    public suspend fun announce(host: HostId, peers: Endpoint, lifetime: Duration): StoreLease
 
     /** Renews [lease]; false if it has ended. */
     public suspend fun renew(lease: StoreLease): Boolean
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
@@ -0,0 +1,248 @@
+/*
+ * Stage work of this host: pieces of many requests share calls to the targets of a service.
+ */
+package org.sapphirelever.runtime.forward
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.BatchLimits
+import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.PieceContext
+import org.sapphirelever.decisions.forwarding.PieceQueue
+import org.sapphirelever.decisions.forwarding.StageCall
+import org.sapphirelever.decisions.forwarding.WaitingPiece
+import org.sapphirelever.decisions.forwarding.add
+import org.sapphirelever.decisions.forwarding.ended
+import org.sapphirelever.decisions.forwarding.released
+import org.sapphirelever.decisions.forwarding.remove
+import org.sapphirelever.decisions.forwarding.start
+import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.transport.readWhole
+
+/**
+ * Makes pieces by calls of this host, which run in [scope]. [sharers] is the number of hosts that
+ * make calls to a service.
+ */
+public class LocalPieces(
+    private val scope: CoroutineScope,
+    private val calls: TargetCalls,
+    private val protocol: ForwardProtocol,
+    private val state: ForwardingState,
+    private val releases: ResultRelease,
+    private val sharers: (ServiceName) -> Int
+) : PieceMaker {
+    private val queues = ConcurrentHashMap<ServiceName, ServiceQueue>()
+
+    override suspend fun make(batch: PieceBatch): List<StageResult> {
+        val limits =
+            state.belief.value.table?.service(batch.service)?.batching
+                ?: throw StageFailedException("service ${batch.service} runs no stages")
+        return queue(batch.service).make(batch, limits)
+    }
+
+    override fun release(results: List<StageResult>) {
+        results.forEach { queue(it.maker.service).free(it.handle) }
+        releases.release(results)
+    }
+
+    private fun queue(service: ServiceName): ServiceQueue =
+        queues.computeIfAbsent(service) { ServiceQueue(it) }
+
+    /** A piece that waits for its result. */
+    private class Pending(
+        val order: PieceOrder,
+        val waiting: WaitingPiece,
+        val tries: Int,
+        val result: CompletableDeferred<StageResult>
+    )
+
+    /** Waiting pieces and calls of one service. */
+    private inner class ServiceQueue(private val service: ServiceName) {
+        private val queue = StateCell(PieceQueue())
+        private val pending = ConcurrentHashMap<Long, Pending>()
+
+        private val held = ConcurrentHashMap<String, StageResult>()
+
+        suspend fun make(batch: PieceBatch, limits: BatchLimits): List<StageResult> {
+            val pieces =
+                batch.orders.map { order ->
+                    state.countRequest(service)
+                    Pending(order, batch.waiting(), 0, CompletableDeferred())
+                }
+            try {
+                submit(pieces, limits)
+                return pieces.map { it.result }.awaitAll()
+            } finally {
+                val results = pieces.map { it.result }.toSet()
+                val left = pending.values.filter { it.result in results }
+                left.forEach { pending.remove(it.waiting.number) }
+                queue.update { state -> state.remove(left.map { it.waiting.number }.toSet()) }
+            }
+        }
+
+        /** Notes that a result takes no more room. */
+        fun free(handle: String) {
+            val result = held.remove(handle) ?: return
+            val limits = state.belief.value.table?.service(service)?.batching
+            if (limits == null) {
+                queue.update { it.released(result.maker.id, result.bytes) }
+                return
+            }
+            queue.decide {
+                it.released(result.maker.id, result.bytes).start(context(limits))
+            }.forEach { start(it, limits) }
+        }
+
+        private fun PieceBatch.waiting(): WaitingPiece =
+            WaitingPiece(numbers.incrementAndGet(), rank, due, bytes = resultBytes, origin = origin)
+
+        private fun submit(pieces: List<Pending>, limits: BatchLimits) {
+            pieces.forEach { pending[it.waiting.number] = it }
+            queue
+                .decide { it.add(pieces.map { piece -> piece.waiting }, context(limits)) }
+                .forEach { start(it, limits) }
+        }
+
+        private fun start(call: StageCall, limits: BatchLimits) {
+            val pieces = call.numbers.mapNotNull { pending.remove(it) }
+            scope.launch {
+                var unmade = call.bytes
+                try {
+                    if (pieces.isNotEmpty()) unmade -= perform(call.target, pieces, limits)
+                } finally {
+                    queue
+                        .decide { it.ended(call.target.id, unmade, context(limits)) }
+                        .forEach { start(it, limits) }
+                }
+            }
+        }
+
+        private suspend fun perform(
+            target: TargetRecord,
+            pieces: List<Pending>,
+            limits: BatchLimits
+        ): Long {
+            val now = state.clock.now()
+            val orders = pieces.map { it.order.copy(remaining = it.waiting.due - now) }
+            val longest = orders.maxOf { it.remaining }
+            val request = protocol.stageCall(target.id, orders)
+            val end =
+                calls.call(target, request, null, longest) { response ->
+                    val body = response.body.readWhole(RESULTS_LIMIT)
+                    response.reply to body
+                }
+            val results = results(end, pieces.size)
+            logEvent("stage-call") {
+                "service" to service
+                "target" to target.id
+                "pieces" to pieces.size
+                "waiting" to queue.value.waiting.size
+                "took-ms" to (state.clock.now() - now).inWholeMilliseconds
+                "requests" to pieces.map { it.order.request }.distinct().joinToString(",")
+                "failed" to results.filterNot { it is PieceResult.Made }.firstOrNull()
+            }
+            return pieces.zip(results).sumOf { (piece, result) ->
+                finish(piece, result, target, limits)
+            }
+        }
+
+        private fun results(
+            end: CallEnd<Pair<TargetReply, ByteArray?>>,
+            count: Int
+        ): List<PieceResult> = when (end) {
+            is CallEnd.NotSent -> failed(end.reason, count)
+
+            is CallEnd.Lost -> failed(end.reason, count)
+
+            is CallEnd.Ended -> {
+                val (reply, body) = end.value
+                val made = if (reply.isSuccess) body?.let { protocol.stageResults(it, count) } else null
+                made ?: failed("status ${reply.status}", count)
+            }
+        }
+
+        private fun failed(reason: String, count: Int): List<PieceResult> =
+            List(count) { PieceResult.Failed(reason) }
+
+        /** Completes [piece] with [result]; returns the bytes that it takes at its maker. */
+        private fun finish(
+            piece: Pending,
+            result: PieceResult,
+            target: TargetRecord,
+            limits: BatchLimits
+        ): Long {
+            when (result) {
+                is PieceResult.Made -> return keep(piece, result.handle, target, limits)
+                is PieceResult.Late -> fail(piece, "late")
+                is PieceResult.InputGone -> fail(piece, "input gone")
+                is PieceResult.Failed -> retry(piece, target.id, result.reason, limits)
+            }
+            return 0
+        }
+
+        private fun keep(
+            piece: Pending,
+            handle: String,
+            target: TargetRecord,
+            limits: BatchLimits
+        ): Long {
+            val made = StageResult(handle, target, piece.waiting.bytes)
+            if (!piece.result.complete(made)) {
+                releases.release(listOf(made))
+                return 0
+            }
+            held[handle] = made
+            scope.launch {
+                // The maker drops the result by itself then.
+                delay(limits.resultLifetime)
+                free(handle)
+            }
+            return made.bytes
+        }
+
+        private fun retry(piece: Pending, failed: TargetId, reason: String, limits: BatchLimits) {
+            val left = piece.waiting.due - state.clock.now()
+            val hopeless = left < limits.callTime + limits.pieceTime
+            if (hopeless || piece.tries >= MAXIMUM_TRIES || !state.takeExtraCall(service)) {
+                fail(piece, reason)
+                return
+            }
+            if (piece.result.isCompleted) return
+            val waiting =
+                piece.waiting.copy(number = numbers.incrementAndGet(), excluded = failed)
+            submit(listOf(Pending(piece.order, waiting, piece.tries + 1, piece.result)), limits)
+        }
+
+        private fun fail(piece: Pending, reason: String) {
+            piece.result.completeExceptionally(StageFailedException("$service: $reason"))
+        }
+
+        private fun context(limits: BatchLimits): PieceContext = PieceContext(
+            service = service,
+            limits = limits,
+            candidates = state.usable(service),
+            views = state.targetViews,
+            hosts = sharers(service),
+            host = state.profile.host.value,
+            now = state.clock.now()
+        )
+    }
+
+    private companion object {
+        val numbers = AtomicLong()
+
+        /** Calls after the first that one piece may take part in. */
+        const val MAXIMUM_TRIES = 3
+
+        /** Results are handles of some tens of bytes each. */
+        const val RESULTS_LIMIT = 262_144
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
@@ -0,0 +1,208 @@
+/*
+ * Connections to the hosts that make pieces for this one. Each is read by one task.
+ */
+package org.sapphirelever.runtime.forward
+
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import org.sapphirelever.core.HostId
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.runtime.peer.PeerConnection
+import org.sapphirelever.runtime.transport.Sockets
+import org.sapphirelever.wire.peer.AbandonPieces
+import org.sapphirelever.wire.peer.MadePieceMessage
+import org.sapphirelever.wire.peer.MakePieces
+import org.sapphirelever.wire.peer.PeerMessage
+import org.sapphirelever.wire.peer.PieceOrderMessage
+import org.sapphirelever.wire.peer.PiecesMade
+import org.sapphirelever.wire.peer.ReleaseResults
+
+/** Links to other hosts; their readers run in [scope]. */
+public class PieceLinks(
+    private val scope: CoroutineScope,
+    private val sockets: Sockets,
+    private val state: ForwardingState
+) {
+    private val links = ConcurrentHashMap<HostId, Link>()
+    private val numbers = AtomicLong()
+
+    /**
+     * Results of [batch] as [owner] had them made. Throws [PeerUnavailableException] if it does
+     * not answer, and [StageFailedException] if the pieces cannot be made.
+     */
+    public suspend fun make(owner: HostId, batch: PieceBatch): List<StageResult> =
+        link(owner).make(batch)
+
+    /** Passes [results] on to be released; false if there is no connection to [owner]. */
+    public fun release(owner: HostId, results: List<StageResult>): Boolean =
+        link(owner).release(results)
+
+    private fun link(owner: HostId): Link = links.computeIfAbsent(owner) { Link(it) }
+
+    /** The link to one host; it is connected when it is needed. */
+    private inner class Link(private val owner: HostId) {
+        private val connecting = Mutex()
+        private val pending = ConcurrentHashMap<Long, CompletableDeferred<PiecesMade>>()
+
+        @Volatile
+        private var connection: PeerConnection? = null
+
+        @Volatile
+        private var avoidedUntil: MonotonicTime = MonotonicTime.ZERO
+
+        suspend fun make(batch: PieceBatch): List<StageResult> {
+            val open = connected()
+            val number = numbers.incrementAndGet()
+            val answer = CompletableDeferred<PiecesMade>()
+            pending[number] = answer
+            try {
+                send(open, batch.toMessage(number))
+                val left = batch.due - state.clock.now()
+                val made =
+                    withTimeoutOrNull(left) { answer.await() }
+                        ?: throw StageFailedException("${batch.service}: late")
+                made.failure?.let { throw StageFailedException(it) }
+                return made.results.map { it.toResult(batch) }
+            } finally {
+                pending.remove(number)
+                if (!answer.isCompleted) abandon(open, number)
+            }
+        }
+
+        fun release(results: List<StageResult>): Boolean {
+            val open = connection ?: return false
+            scope.launch {
+                results.groupBy { it.maker.service }.forEach { (service, made) ->
+                    val messages = made.map { MadePieceMessage(it.handle, it.maker.id.value) }
+                    try {
+                        send(open, ReleaseResults(service.value, messages))
+                    } catch (failure: PeerUnavailableException) {
+                        // The makers drop the results by themselves after their lifetime.
+                        logWarning("release-lost") { "failure" to failure.message }
+                    }
+                }
+            }
+            return true
+        }
+
+        private suspend fun connected(): PeerConnection = connecting.withLock {
+            connection?.let { return@withLock it }
+            if (state.clock.now() < avoidedUntil) throw PeerUnavailableException("avoided")
+            val endpoint =
+                state.hosts.value[owner] ?: throw PeerUnavailableException("unknown host")
+            val opened =
+                try {
+                    PeerConnection(sockets.connectSocket(endpoint, CONNECT_LIMIT))
+                } catch (failure: IOException) {
+                    avoid(failure)
+                    throw PeerUnavailableException("no connection", failure)
+                }
+            connection = opened
+            scope.launch { read(opened) }
+            logEvent("peer-connected") { "peer" to owner }
+            opened
+        }
+
+        /** Reads answers until the connection ends or falls silent although work is pending. */
+        private suspend fun read(open: PeerConnection) {
+            try {
+                while (true) {
+                    val message =
+                        withTimeoutOrNull(SILENCE_LIMIT) { open.receive(IDLE_LIMIT) }
+                    if (message is PiecesMade) pending[message.number]?.complete(message)
+                    if (message == null && pending.isNotEmpty()) throw IOException("silent")
+                }
+            } catch (failure: Exception) {
+                lose(open, failure)
+                if (failure !is IOException) throw failure
+            }
+        }
+
+        private suspend fun send(open: PeerConnection, message: PeerMessage) {
+            try {
+                open.send(message, SILENCE_LIMIT)
+            } catch (failure: IOException) {
+                lose(open, failure)
+                throw PeerUnavailableException("connection lost", failure)
+            }
+        }
+
+        private suspend fun abandon(open: PeerConnection, number: Long) {
+            if (connection !== open) return
+            withContext(NonCancellable) {
+                try {
+                    open.send(AbandonPieces(number), SILENCE_LIMIT)
+                } catch (failure: IOException) {
+                    lose(open, failure)
+                }
+            }
+        }
+
+        private fun lose(open: PeerConnection, failure: Throwable) {
+            open.close()
+            if (connection !== open) return
+            connection = null
+            if (pending.isNotEmpty()) avoid(failure)
+            logEvent("peer-lost") {
+                "peer" to owner
+                "pending" to pending.size
+                "failure" to failure.message
+            }
+            val lost = PeerUnavailableException("connection lost", failure)
+            pending.values.forEach { it.completeExceptionally(lost) }
+        }
+
+        private fun avoid(failure: Throwable) {
+            avoidedUntil = state.clock.now() + AVOIDANCE
+            logEvent("peer-avoided") {
+                "peer" to owner
+                "failure" to failure.message
+            }
+        }
+
+        private fun PieceBatch.toMessage(number: Long): MakePieces = MakePieces(
+            number = number,
+            service = service.value,
+            request = orders.first().request,
+            stage = orders.first().stage,
+            resultBytes = resultBytes,
+            rank = rank,
+            remainingMillis = (due - state.clock.now()).inWholeMilliseconds,
+            dataCentre = origin.value,
+            pieces = orders.map { PieceOrderMessage(it.piece, it.key, it.inputs) }
+        )
+
+        private fun MadePieceMessage.toResult(batch: PieceBatch): StageResult {
+            val maker =
+                state.directory.value.targets[TargetId(maker)]?.record
+                    ?: throw StageFailedException("${batch.service}: unknown maker $maker")
+            return StageResult(handle, maker, batch.resultBytes)
+        }
+    }
+
+    private companion object {
+        /** A host with pending work tells so every 150 ms; two may be lost. */
+        val SILENCE_LIMIT = 450.milliseconds
+
+        /** Longer than any pause between requests that matters; then the link is opened anew. */
+        val IDLE_LIMIT = 60.seconds
+        val CONNECT_LIMIT = 250.milliseconds
+
+        /** Time in which this host makes its own calls before it tries the link again. */
+        val AVOIDANCE = 2.seconds
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceMaker.kt
@@ -0,0 +1,44 @@
+/*
+ * Making of pieces of stage work, wherever the calls are made from.
+ */
+package org.sapphirelever.runtime.forward
+
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.forwarding.TargetRecord
+
+/** A result of a stage and the target that keeps it. */
+public data class StageResult(
+    public val handle: String,
+    public val maker: TargetRecord,
+    public val bytes: Long
+)
+
+/** The stages of a request did not end; the request itself has not run. */
+public class StageFailedException(public val reason: String) : java.io.IOException(reason)
+
+/**
+ * The pieces of one stage of one request.
+ *
+ * @property resultBytes approximate size of one result
+ * @property due moment after which the results are of no use
+ * @property origin data centre of the host that has the request
+ */
+public data class PieceBatch(
+    public val service: ServiceName,
+    public val resultBytes: Long,
+    public val rank: Int,
+    public val due: MonotonicTime,
+    public val origin: DataCentre,
+    public val orders: List<PieceOrder>
+)
+
+/** Makes pieces and keeps account of their results. */
+public interface PieceMaker {
+    /** Results in the order of the pieces; throws [StageFailedException] if one is missing. */
+    public suspend fun make(batch: PieceBatch): List<StageResult>
+
+    /** Gives up [results], which take room at their makers. */
+    public fun release(results: List<StageResult>)
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
@@ -0,0 +1,99 @@
+/*
+ * Stage work for other hosts. Each of their connections is served by one task.
+ */
+package org.sapphirelever.runtime.forward
+
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.runtime.peer.PeerConnection
+import org.sapphirelever.wire.peer.AbandonPieces
+import org.sapphirelever.wire.peer.MadePieceMessage
+import org.sapphirelever.wire.peer.MakePieces
+import org.sapphirelever.wire.peer.PiecesMade
+import org.sapphirelever.wire.peer.ReleaseResults
+import org.sapphirelever.wire.peer.WorkContinues
+
+/** Makes pieces with [maker] for the hosts that ask. */
+public class PieceServer(private val maker: PieceMaker, private val state: ForwardingState) {
+    /** Serves [connection] until it ends; pieces that are then waiting are given up. */
+    public suspend fun serve(connection: PeerConnection): Unit = coroutineScope {
+        val jobs = ConcurrentHashMap<Long, Job>()
+        launch { reportWork(connection, jobs) }
+        while (true) {
+            when (val message = connection.receive(IDLE_LIMIT)) {
+                is MakePieces -> {
+                    val job = launch { answer(connection, message) }
+                    jobs[message.number] = job
+                    job.invokeOnCompletion { jobs.remove(message.number) }
+                }
+
+                is AbandonPieces -> jobs[message.number]?.cancel()
+
+                is ReleaseResults -> release(message)
+
+                else -> throw IOException("unexpected ${message::class.simpleName}")
+            }
+        }
+    }
+
+    private suspend fun reportWork(connection: PeerConnection, jobs: Map<Long, Job>) {
+        while (true) {
+            delay(REPORT_PERIOD)
+            if (jobs.isNotEmpty()) connection.send(WorkContinues)
+        }
+    }
+
+    private suspend fun answer(connection: PeerConnection, message: MakePieces) {
+        val answer =
+            try {
+                val made = maker.make(message.toBatch())
+                val results = made.map { MadePieceMessage(it.handle, it.maker.id.value) }
+                PiecesMade(message.number, results)
+            } catch (failure: StageFailedException) {
+                PiecesMade(message.number, failure = failure.reason)
+            }
+        connection.send(answer)
+    }
+
+    private fun release(message: ReleaseResults) {
+        val targets = state.directory.value.targets
+        val results =
+            message.results.mapNotNull { made ->
+                val maker = targets[TargetId(made.maker)]?.record
+                // A maker that is gone has taken its results with it.
+                maker?.let { StageResult(made.handle, it, 0) }
+            }
+        maker.release(results)
+    }
+
+    private fun MakePieces.toBatch(): PieceBatch = PieceBatch(
+        service = ServiceName(service),
+        resultBytes = resultBytes,
+        rank = rank,
+        due = state.clock.now() + remainingMillis.milliseconds,
+        origin = DataCentre(dataCentre),
+        orders =
+            pieces.map {
+                val inputs = it.inputs.toPersistentList()
+                PieceOrder(request, stage, it.piece, Duration.ZERO, it.key, inputs)
+            }
+    )
+
+    private companion object {
+        /** A third of the silence that the other side takes for a loss. */
+        val REPORT_PERIOD = 150.milliseconds
+        val IDLE_LIMIT = 60.seconds
+    }
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -18,6 +18,7 @@
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.Admission
 import org.sapphirelever.decisions.forwarding.PromptShape
+import org.sapphirelever.decisions.forwarding.ResultBytes
 import org.sapphirelever.decisions.forwarding.admit
 import org.sapphirelever.decisions.forwarding.chooseEngine
 import org.sapphirelever.decisions.forwarding.greatestBeliefAge
@@ -39,7 +40,7 @@
     private val state: ForwardingState,
     private val calls: TargetCalls,
     private val stages: StageWork,
-    private val releases: ResultRelease
+    private val maker: PieceMaker
 ) {
     /** Answers [request], which arrived at [arrived] with [body], and returns how it ended. */
     public suspend fun forward(
@@ -178,11 +179,16 @@
                 fresh,
                 state.targetViews,
                 prompt,
+                resultBytes(),
                 state.profile.dataCentre,
                 state.clock.now()
             )
         }
 
+        private fun resultBytes(): ResultBytes = results
+            .groupBy { it.maker.dataCentre }
+            .mapValues { (_, made) -> made.sumOf { it.bytes } }
+
         private suspend fun call(target: TargetRecord): Step {
             val limit = remaining
             val inputs = results.map { it.handle }.toPersistentList()
@@ -274,7 +280,7 @@
         }
 
         private fun releaseResults() {
-            releases.release(results)
+            maker.release(results)
             results = persistentListOf()
         }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -54,7 +54,11 @@
                     if (held != null && store.renew(held)) {
                         held
                     } else {
-                        store.announce(state.profile.host, ANNOUNCEMENT_LIFETIME)
+                        store.announce(
+                            state.profile.host,
+                            state.profile.peers,
+                            ANNOUNCEMENT_LIFETIME
+                        )
                     }
                 } catch (failure: IOException) {
                     logWarning("announcement-failed") { "failure" to failure.message }
@@ -93,8 +97,11 @@
         if (facts.complete) {
             val records = facts.facts.filterIsInstance<StoreFact.Target>().map { it.record }
             state.directory.update { it.listed(records, now) }
-            val hosts = facts.facts.filterIsInstance<StoreFact.Host>().map { it.host }
-            state.hosts.update { it.clear().addAll(hosts).add(state.profile.host) }
+            val hosts = facts.facts.filterIsInstance<StoreFact.Host>()
+            state.hosts.update { known ->
+                hosts.fold(known.clear()) { all, fact -> all.put(fact.host, fact.peers) }
+                    .put(state.profile.host, state.profile.peers)
+            }
         }
         facts.facts.forEach(::apply)
     }
@@ -107,11 +114,11 @@
 
             is StoreFact.TargetGone -> removeTarget(fact.target, "entry-removed")
 
-            is StoreFact.Host -> state.hosts.update { it.add(fact.host) }
+            is StoreFact.Host -> state.hosts.update { it.put(fact.host, fact.peers) }
 
             is StoreFact.HostGone ->
                 state.hosts.update { hosts ->
-                    hosts.remove(fact.host).add(state.profile.host)
+                    hosts.remove(fact.host).put(state.profile.host, state.profile.peers)
                 }
 
             is StoreFact.Crash ->
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/Sockets.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/Sockets.kt
@@ -27,7 +27,11 @@
     private val selector = SelectorManager(Dispatchers.IO)
 
     /** Connects to [endpoint]; throws [IOException] when there is no connection in [limit]. */
-    public suspend fun connect(endpoint: Endpoint, limit: Duration): HttpConnection {
+    public suspend fun connect(endpoint: Endpoint, limit: Duration): HttpConnection =
+        HttpConnection(connectSocket(endpoint, limit))
+
+    /** The same, for a protocol other than HTTP. */
+    public suspend fun connectSocket(endpoint: Endpoint, limit: Duration): Socket {
         val address = InetSocketAddress(endpoint.address, endpoint.port)
         val socket =
             try {
@@ -38,7 +42,7 @@
                 currentCoroutineContext().ensureActive()
                 throw IOException("connection to $endpoint failed", cancelled)
             }
-        return HttpConnection(socket ?: throw IOException("no connection to $endpoint in $limit"))
+        return socket ?: throw IOException("no connection to $endpoint in $limit")
     }
 
     /** Listens on [endpoint]. */
@@ -64,7 +68,12 @@
 /** Accepts connections on one address. */
 public class Listener(private val server: ServerSocket) : Closeable {
     /** Runs [serve] in a task of its own for each connection, until this listener is closed. */
-    public suspend fun run(serve: suspend (HttpConnection) -> Unit): Unit = coroutineScope {
+    public suspend fun run(serve: suspend (HttpConnection) -> Unit) {
+        runSockets { socket -> HttpConnection(socket).use { serve(it) } }
+    }
+
+    /** The same, for a protocol other than HTTP. */
+    public suspend fun runSockets(serve: suspend (Socket) -> Unit): Unit = coroutineScope {
         while (true) {
             val socket = server.accept()
             launch { serveGuarded(socket, serve) }
@@ -77,11 +86,10 @@
 
     private suspend fun CoroutineScope.serveGuarded(
         socket: Socket,
-        serve: suspend (HttpConnection) -> Unit
+        serve: suspend (Socket) -> Unit
     ) {
-        val connection = HttpConnection(socket)
         try {
-            serve(connection)
+            serve(socket)
         } catch (cancelled: CancellationException) {
             ensureActive()
             logWarning("connection-failed") { "failure" to cancelled }
@@ -90,7 +98,7 @@
         } catch (failure: Exception) {
             logWarning("connection-failed") { "failure" to failure }
         } finally {
-            connection.close()
+            socket.close()
         }
     }
 }
