Keep room and order of stage results; handle crashes, SIGHUP and stop

Changes: release tells the maker first; calls go to sound targets; pieces are ordered by rank, then by the objective with an allowance for bytes that cross; crash marks are published in the store; SIGHUP re-reads the settings; a stopping host withdraws its announcement first; ordinary log lines are bounded to 400 a second.

--- a/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
@@ -4,6 +4,7 @@
 package org.sapphirelever.cli
 
 import org.sapphirelever.core.ExitCode
+import org.sapphirelever.core.SapphireleverException
 import org.sapphirelever.core.settings.PortType
 import org.sapphirelever.core.settings.SettingGroup
 import org.sapphirelever.core.settings.SwitchType
@@ -15,7 +16,9 @@
 import org.sapphirelever.platform.StoreClient
 import org.sapphirelever.platform.readHostFile
 import org.sapphirelever.runtime.forward.ForwardingHost
+import org.sapphirelever.runtime.host.onReloadSignal
 import org.sapphirelever.runtime.host.onStopSignal
+import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.transport.Sockets
 
 /** Runs a forwarding host until a signal stops it. */
@@ -36,6 +39,16 @@
             +checkOnly
         }
 
+    private fun reload(host: ForwardingHost, invocation: Invocation) {
+        try {
+            host.reload(
+                readHostFile(invocation.values[file], invocation.values[metricsPort].toInt())
+            )
+        } catch (invalid: SapphireleverException) {
+            logWarning("settings-not-reloaded") { "findings" to invalid.findings.joinToString() }
+        }
+    }
+
     override suspend fun run(invocation: Invocation): ExitCode {
         val profile =
             readHostFile(invocation.values[file], invocation.values[metricsPort].toInt())
@@ -47,6 +60,7 @@
             val store = StoreClient(profile.store, sockets)
             val host = ForwardingHost(profile, PlatformProtocol, store, sockets)
             onStopSignal(host::signal)
+            onReloadSignal { reload(host, invocation) }
             host.run()
         }
     }
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -4,6 +4,7 @@
  */
 package org.sapphirelever.decisions.forwarding
 
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
@@ -23,18 +24,29 @@
  *
  * @property number identity of the waiting piece, unique in this process
  * @property due moment after which the result is of no use
+ * @property aim moment until which the answer to the request is on time
  * @property excluded target that failed to make the piece before
  * @property bytes approximate size of the result
  * @property origin data centre of the request, where the result is probably fetched
+ * @property inputs size of the results that it takes, by the data centre that keeps them
  */
 public data class WaitingPiece(
     public val number: Long,
+    public val request: String,
     public val rank: Int,
     public val due: MonotonicTime,
+    public val aim: MonotonicTime = due,
     public val excluded: TargetId? = null,
     public val bytes: Long = 0,
-    public val origin: DataCentre? = null
-)
+    public val origin: DataCentre? = null,
+    public val inputs: PersistentMap<DataCentre, Long> = persistentMapOf()
+) {
+    /** Bytes that cross between data centres if the piece is made in [dataCentre]. */
+    internal fun crossing(dataCentre: DataCentre): Long {
+        val fetched = inputs.entries.sumOf { if (it.key == dataCentre) 0 else it.value }
+        return fetched + if (origin == dataCentre) 0 else bytes
+    }
+}
 
 /** Start of a call to [target] with the pieces of these [numbers]. */
 public data class StageCall(
@@ -71,8 +83,7 @@
     pieces: List<WaitingPiece>,
     context: PieceContext
 ): Decision<PieceQueue, StageCall> {
-    val ordered = (waiting + pieces).sortedWith(compareBy({ it.rank }, { it.due }))
-    return copy(waiting = ordered.toPersistentList()).start(context)
+    return copy(waiting = waiting.addAll(pieces)).start(context)
 }
 
 /** Removes pieces whose requests have ended. */
@@ -125,9 +136,14 @@
     return kotlin.math.ceil(share).toInt().coerceAtLeast(1)
 }
 
+private fun PieceContext.isSuspect(target: TargetRecord): Boolean =
+    views[target.id]?.isSuspect(now) == true
+
 /** The next call: to the target that suits the first waiting piece that has room somewhere. */
 private fun PieceQueue.nextCall(context: PieceContext): StageCall? {
-    val free = context.candidates.filter { (calls[it.id] ?: 0) < context.limits.slots }
+    val sound = context.candidates.filterNot { context.isSuspect(it) }
+    val usable = sound.ifEmpty { context.candidates }
+    val free = usable.filter { (calls[it.id] ?: 0) < context.limits.slots }
     return free
         .mapNotNull { target -> callTo(target, context)?.let { target to it } }
         .minByOrNull { (target, pieces) -> expectedCalls(target, pieces, context) }
@@ -144,7 +160,7 @@
     val unused = (bytes[target.id] ?: 0) == 0L
     val alone = context.candidates.size == 1
     val taken = mutableListOf<WaitingPiece>()
-    for (piece in waiting) {
+    for (piece in inOrder(target.dataCentre)) {
         if (taken.size >= context.limits.batch) break
         val fits = piece.bytes <= room || (unused && taken.isEmpty())
         if (!fits || (piece.excluded == target.id && !alone)) continue
@@ -154,23 +170,37 @@
     return taken.ifEmpty { null }
 }
 
+/**
+ * The waiting pieces in the order in which a target in [dataCentre] makes them: by rank, then by
+ * the time until which they are on time, with an allowance for bytes that need not cross. Pieces
+ * that are late keep their place, since requests that wait hold room with earlier results.
+ */
+private fun PieceQueue.inOrder(dataCentre: DataCentre): List<WaitingPiece> {
+    val counts = waiting.groupingBy { it.request }.eachCount()
+    return waiting.sortedWith(
+        compareBy({ it.rank }, { piece ->
+            val megabytes = piece.crossing(dataCentre) / BYTES_PER_MEGABYTE
+            piece.aim + MEGABYTE_ALLOWANCE * megabytes * counts.getValue(piece.request)
+        })
+    )
+}
+
 /** Calls that a new call to [target] is expected to wait for, with a preference for near ones. */
 private fun expectedCalls(
     target: TargetRecord,
     pieces: List<WaitingPiece>,
     context: PieceContext
 ): Double {
-    val crossing = pieces.filter { it.origin != target.dataCentre }
-    val megabytes = crossing.sumOf { it.bytes } / pieces.size / BYTES_PER_MEGABYTE
+    val requests = pieces.distinctBy { it.request }.size
+    val crossing = pieces.sumOf { it.crossing(target.dataCentre) }
+    val megabytes = crossing / BYTES_PER_MEGABYTE / requests
     val view = context.views[target.id] ?: TargetView()
     val report = view.report?.takeIf { context.now - it.at < REPORT_LIFETIME }
     val ahead = report?.let { it.running + it.waiting }?.toDouble() ?: UNKNOWN_CALLS
-    val suspect = if (view.isSuspect(context.now)) SUSPECT_CALLS else 0.0
-    val distance =
-        megabytes * REMOTE_CALLS_PER_MEGABYTE + REMOTE_CALLS * crossing.size / pieces.size
+    val distance = megabytes * REMOTE_CALLS_PER_MEGABYTE
     // Hosts prefer different targets, so that they do not all call the same one at once.
     val preference = rendezvousRank(context.host, target.id.value).mod(PREFERENCES) * TIE_CALLS
-    return ahead + suspect + distance + preference
+    return ahead + distance + preference
 }
 
 /** Calls in progress for each slot, over all hosts. */
@@ -178,17 +208,19 @@
 
 /** Load assumed of a target that has not reported lately. */
 private const val UNKNOWN_CALLS = 0.5
-private const val SUSPECT_CALLS = 10.0
-
-/** Calls that a near target may have ahead of a far one, for results of no size. */
-private const val REMOTE_CALLS = 0.1
 
 /** Part of the room of a target that is used; sizes of results are approximate. */
 private const val ROOM_IN_USE = 0.9
 
-/** The same for each megabyte of an average result, which crosses to the model's data centre. */
-private const val REMOTE_CALLS_PER_MEGABYTE = 0.4
+/** Calls that a near target may have ahead of a far one, for each megabyte that crosses. */
+private const val REMOTE_CALLS_PER_MEGABYTE = 0.35
+
+/** Time by which a piece is put back for each megabyte of its request that crosses. */
+private val MEGABYTE_ALLOWANCE = 90.milliseconds
+
 private const val BYTES_PER_MEGABYTE = 1_000_000.0
+
+/** Part of a call by which preferences of a host between equal targets differ. */
 private const val TIE_CALLS = 0.02
 private const val PREFERENCES = 8L
 
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CrashSuspicion.kt
@@ -0,0 +1,69 @@
+/*
+ * Requests that crash the targets which run them. A target that broke a connection is asked whether
+ * it still takes connections; if not, the request is marked, for all hosts.
+ */
+package org.sapphirelever.runtime.forward
+
+import java.io.IOException
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.keys.Fingerprint
+import org.sapphirelever.decisions.suspicion.CrashMark
+import org.sapphirelever.decisions.suspicion.SuspicionState
+import org.sapphirelever.decisions.suspicion.marked
+import org.sapphirelever.decisions.suspicion.suspects
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.runtime.transport.Sockets
+
+/** Keeps the marks of this host and publishes them in [store]; probes run in [scope]. */
+public class CrashSuspicion(
+    private val scope: CoroutineScope,
+    private val sockets: Sockets,
+    private val store: ForwardingStore,
+    private val state: ForwardingState
+) {
+    /** Whether several targets crashed while they ran such a request. */
+    public fun suspects(fingerprint: Fingerprint): Boolean =
+        state.suspicion.value.suspects(fingerprint, state.clock.now())
+
+    /** Notes that [target] broke the connection of a request with [fingerprint]. */
+    public fun broken(request: String, fingerprint: Fingerprint, target: TargetRecord) {
+        scope.launch {
+            if (isAlive(target)) return@launch
+            state.suspicion.update { it.marked(fingerprint, target.id, state.clock.now()) }
+            logEvent("crash-marked") {
+                "request" to request
+                "target" to target.id
+                "fingerprint" to fingerprint.value
+            }
+            publish(CrashMark(fingerprint, target.id, SuspicionState.VALIDITY))
+        }
+    }
+
+    private suspend fun isAlive(target: TargetRecord): Boolean = try {
+        sockets.connectSocket(target.endpoint, PROBE_LIMIT).close()
+        true
+    } catch (_: IOException) {
+        // The refusal is the finding; the mark that follows is logged.
+        false
+    }
+
+    private suspend fun publish(mark: CrashMark) {
+        try {
+            store.publish(mark)
+        } catch (failure: IOException) {
+            logWarning("crash-mark-unpublished") {
+                "target" to mark.target
+                "failure" to failure.message
+            }
+        }
+    }
+
+    private companion object {
+        /** A few times the time of a handshake between data centres. */
+        val PROBE_LIMIT = 300.milliseconds
+    }
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
@@ -105,8 +105,9 @@
     /** An input no longer exists. */
     public data object InputGone : PieceResult
 
-    /** The piece may be tried again. */
-    public data class Failed(public val reason: String) : PieceResult
+    /** The piece may be tried again; [sent] tells whether a call reached the target. */
+    public data class Failed(public val reason: String, public val sent: Boolean = true) :
+        PieceResult
 }
 
 /** A request to a target with its body. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -44,6 +44,8 @@
     private val sockets: Sockets,
     private val clock: MonotonicClock = SystemMonotonicClock
 ) {
+    private val state = ForwardingState(profile, clock)
+    private val feed = StoreFeed(store, state)
     private val shutdown =
         GracefulShutdown(
             BALANCER_DELAY,
@@ -51,15 +53,19 @@
             clock,
             emptyList()
         )
-    private val state = ForwardingState(profile, clock)
     private val metrics = ForwardingMetrics(state)
-    private val feed = StoreFeed(store, state)
 
     /** Begins a graceful stop. */
     public fun signal() {
+        feed.withdraw()
         shutdown.signal()
     }
 
+    /** Notes that the settings may have changed; they take effect at the next start. */
+    public fun reload(changed: HostProfile) {
+        logEvent("settings-reloaded") { "changed" to (changed != profile) }
+    }
+
     /** Runs until a signal stops the host or its supervisor gives up. */
     public suspend fun run(): ExitCode = coroutineScope {
         logEvent("host-started") {
@@ -105,7 +111,9 @@
         val local = LocalPieces(work, calls, protocol, state, releases, ::sharers)
         val pieces = PooledPieces(local, PieceLinks(work, sockets, state), state)
         val stages = StageWork(pieces, state)
-        val forwarding = RequestForwarding(protocol, state, calls, stages, pieces)
+        val suspicion = CrashSuspicion(work, sockets, store, state)
+        val forwarding =
+            RequestForwarding(protocol, state, calls, stages, pieces, suspicion)
         val server = PieceServer(local, state)
         launch { sockets.listen(profile.peers).use { it.runSockets { socket -> PeerConnection(socket).use { peer -> server.serve(peer) } } } }
         val connections =
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
@@ -7,9 +7,11 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.BatchLimits
@@ -49,8 +51,8 @@
     }
 
     override fun release(results: List<StageResult>) {
-        results.forEach { queue(it.maker.service).free(it.handle) }
-        releases.release(results)
+        // The room is free only after the maker has been told.
+        results.forEach { releases.release(it) { queue(it.maker.service).free(it.handle) } }
     }
 
     private fun queue(service: ServiceName): ServiceQueue =
@@ -79,7 +81,12 @@
                 }
             try {
                 submit(pieces, limits)
-                return pieces.map { it.result }.awaitAll()
+                return withTimeoutOrNull(batch.due - state.clock.now()) {
+                    pieces.map { it.result }.awaitAll()
+                } ?: throw StageFailedException("$service: late")
+            } catch (failure: Throwable) {
+                releaseMade(pieces)
+                throw failure
             } finally {
                 val results = pieces.map { it.result }.toSet()
                 val left = pending.values.filter { it.result in results }
@@ -88,6 +95,18 @@
             }
         }
 
+        /** Gives up the results of a request whose other pieces were not made. */
+        @OptIn(ExperimentalCoroutinesApi::class)
+        private fun releaseMade(pieces: List<Pending>) {
+            pieces.forEach { it.result.cancel() }
+            release(
+                pieces
+                    .map { it.result }
+                    .filter { it.isCompleted && it.getCompletionExceptionOrNull() == null }
+                    .map { it.getCompleted() }
+            )
+        }
+
         /** Notes that a result takes no more room. */
         fun free(handle: String) {
             val result = held.remove(handle) ?: return
@@ -102,7 +121,16 @@
         }
 
         private fun PieceBatch.waiting(): WaitingPiece =
-            WaitingPiece(numbers.incrementAndGet(), rank, due, bytes = resultBytes, origin = origin)
+            WaitingPiece(
+                number = numbers.incrementAndGet(),
+                request = orders.first().request,
+                rank = rank,
+                due = due,
+                aim = aim,
+                bytes = resultBytes,
+                origin = origin,
+                inputs = inputs
+            )
 
         private fun submit(pieces: List<Pending>, limits: BatchLimits) {
             pieces.forEach { pending[it.waiting.number] = it }
@@ -158,7 +186,7 @@
             end: CallEnd<Pair<TargetReply, ByteArray?>>,
             count: Int
         ): List<PieceResult> = when (end) {
-            is CallEnd.NotSent -> failed(end.reason, count)
+            is CallEnd.NotSent -> failed(end.reason, count, sent = false)
 
             is CallEnd.Lost -> failed(end.reason, count)
 
@@ -169,8 +197,11 @@
             }
         }
 
-        private fun failed(reason: String, count: Int): List<PieceResult> =
-            List(count) { PieceResult.Failed(reason) }
+        private fun failed(
+            reason: String,
+            count: Int,
+            sent: Boolean = true
+        ): List<PieceResult> = List(count) { PieceResult.Failed(reason, sent) }
 
         /** Completes [piece] with [result]; returns the bytes that it takes at its maker. */
         private fun finish(
@@ -183,7 +214,8 @@
                 is PieceResult.Made -> return keep(piece, result.handle, target, limits)
                 is PieceResult.Late -> fail(piece, "late")
                 is PieceResult.InputGone -> fail(piece, "input gone")
-                is PieceResult.Failed -> retry(piece, target.id, result.reason, limits)
+                is PieceResult.Failed ->
+                    retry(piece, target.id, result.reason, result.sent, limits)
             }
             return 0
         }
@@ -195,11 +227,8 @@
             limits: BatchLimits
         ): Long {
             val made = StageResult(handle, target, piece.waiting.bytes)
-            if (!piece.result.complete(made)) {
-                releases.release(listOf(made))
-                return 0
-            }
             held[handle] = made
+            if (!piece.result.complete(made)) release(listOf(made))
             scope.launch {
                 // The maker drops the result by itself then.
                 delay(limits.resultLifetime)
@@ -208,10 +237,17 @@
             return made.bytes
         }
 
-        private fun retry(piece: Pending, failed: TargetId, reason: String, limits: BatchLimits) {
+        private fun retry(
+            piece: Pending,
+            failed: TargetId,
+            reason: String,
+            sent: Boolean,
+            limits: BatchLimits
+        ) {
             val left = piece.waiting.due - state.clock.now()
             val hopeless = left < limits.callTime + limits.pieceTime
-            if (hopeless || piece.tries >= MAXIMUM_TRIES || !state.takeExtraCall(service)) {
+            val repeats = sent && !state.takeExtraCall(service)
+            if (hopeless || piece.tries >= MAXIMUM_TRIES || repeats) {
                 fail(piece, reason)
                 return
             }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
@@ -183,6 +183,8 @@
             rank = rank,
             remainingMillis = (due - state.clock.now()).inWholeMilliseconds,
             dataCentre = origin.value,
+            inputs = inputs.mapKeys { it.key.value },
+            aimMillis = (aim - state.clock.now()).inWholeMilliseconds,
             pieces = orders.map { PieceOrderMessage(it.piece, it.key, it.inputs) }
         )
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceMaker.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceMaker.kt
@@ -3,6 +3,7 @@
  */
 package org.sapphirelever.runtime.forward
 
+import kotlinx.collections.immutable.PersistentMap
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.ServiceName
@@ -23,6 +24,8 @@
  *
  * @property resultBytes approximate size of one result
  * @property due moment after which the results are of no use
+ * @property aim moment until which the answer to the request is on time
+ * @property inputs size of the results that the pieces take, by data centre
  * @property origin data centre of the host that has the request
  */
 public data class PieceBatch(
@@ -30,6 +33,8 @@
     public val resultBytes: Long,
     public val rank: Int,
     public val due: MonotonicTime,
+    public val aim: MonotonicTime,
+    public val inputs: PersistentMap<DataCentre, Long>,
     public val origin: DataCentre,
     public val orders: List<PieceOrder>
 )
@@ -42,3 +47,7 @@
     /** Gives up [results], which take room at their makers. */
     public fun release(results: List<StageResult>)
 }
+
+/** Size of these results by the data centre that keeps them. */
+internal fun List<StageResult>.bytesByDataCentre(): Map<DataCentre, Long> =
+    groupBy { it.maker.dataCentre }.mapValues { (_, made) -> made.sumOf { it.bytes } }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -83,6 +84,8 @@
         resultBytes = resultBytes,
         rank = rank,
         due = state.clock.now() + remainingMillis.milliseconds,
+        aim = state.clock.now() + aimMillis.milliseconds,
+        inputs = inputs.mapKeys { DataCentre(it.key) }.toPersistentMap(),
         origin = DataCentre(dataCentre),
         orders =
             pieces.map {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -18,10 +18,10 @@
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.Admission
 import org.sapphirelever.decisions.forwarding.PromptShape
-import org.sapphirelever.decisions.forwarding.ResultBytes
 import org.sapphirelever.decisions.forwarding.admit
 import org.sapphirelever.decisions.forwarding.chooseEngine
 import org.sapphirelever.decisions.forwarding.greatestBeliefAge
+import org.sapphirelever.decisions.keys.Fingerprint
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.transport.BodyReader
 import org.sapphirelever.runtime.transport.TornMessageException
@@ -40,7 +40,8 @@
     private val state: ForwardingState,
     private val calls: TargetCalls,
     private val stages: StageWork,
-    private val maker: PieceMaker
+    private val maker: PieceMaker,
+    private val suspicion: CrashSuspicion
 ) {
     /** Answers [request], which arrived at [arrived] with [body], and returns how it ended. */
     public suspend fun forward(
@@ -63,12 +64,28 @@
             Admission.UnknownKey -> refuse(request, answer, UNKNOWN_KEY, "unknown-key", null)
 
             is Admission.Granted -> {
-                state.countRequest(admission.service)
-                Course(request, body, arrived, answer, admission).run()
+                val fingerprint = fingerprintOf(request, body, admission)
+                if (suspicion.suspects(fingerprint)) {
+                    refuse(request, answer, NOT_NOW, "suspected-crash", null)
+                } else {
+                    state.countRequest(admission.service)
+                    Course(request, body, arrived, answer, admission, fingerprint).run()
+                }
             }
         }
     }
 
+    private fun fingerprintOf(
+        request: CallerRequest,
+        body: ByteArray,
+        granted: Admission.Granted
+    ): Fingerprint = Fingerprint.of(
+        granted.organisation?.value.orEmpty(),
+        request.head.method,
+        request.head.target,
+        String(body, Charsets.ISO_8859_1)
+    )
+
     private suspend fun refuse(
         request: CallerRequest,
         answer: CallerAnswer,
@@ -105,9 +122,10 @@
     private inner class Course(
         private val request: CallerRequest,
         private val body: ByteArray,
-        arrived: MonotonicTime,
+        private val arrived: MonotonicTime,
         private val answer: CallerAnswer,
-        private val granted: Admission.Granted
+        private val granted: Admission.Granted,
+        private val fingerprint: Fingerprint
     ) {
         private val route = granted.route
         private val patience = minOf(request.patience ?: route.timeLimit, route.timeLimit)
@@ -123,8 +141,9 @@
         suspend fun run(): ForwardOutcome {
             try {
                 if (route.stages.isNotEmpty()) {
-                    val due = until - STAGE_RESERVE
-                    results = stages.run(request, route.stages, granted.rank, due)
+                    val aim = arrived + route.objective
+                    val due = stageDue(aim)
+                    results = stages.run(request, route.stages, granted.rank, due, aim)
                 }
             } catch (failure: StageFailedException) {
                 return refuse(request, answer, NOT_NOW, "stage-failed: ${failure.reason}", PAUSE)
@@ -136,6 +155,13 @@
             }
         }
 
+        /**
+         * Time until which the stages must end. Work that is far beyond its objective earns little
+         * and delays other requests, so it is given up before the caller's patience ends.
+         */
+        private fun stageDue(aim: MonotonicTime): MonotonicTime =
+            minOf(aim + (until - aim) * LATE_PART, until - STAGE_RESERVE)
+
         private suspend fun callTargets(): ForwardOutcome {
             while (true) {
                 val target = choose() ?: return giveUp("no-target")
@@ -179,16 +205,12 @@
                 fresh,
                 state.targetViews,
                 prompt,
-                resultBytes(),
+                results.bytesByDataCentre(),
                 state.profile.dataCentre,
                 state.clock.now()
             )
         }
 
-        private fun resultBytes(): ResultBytes = results
-            .groupBy { it.maker.dataCentre }
-            .mapValues { (_, made) -> made.sumOf { it.bytes } }
-
         private suspend fun call(target: TargetRecord): Step {
             val limit = remaining
             val inputs = results.map { it.handle }.toPersistentList()
@@ -221,7 +243,11 @@
                 return when (end) {
                     is CallEnd.Ended -> end.value
                     is CallEnd.NotSent -> Step.NotRun("not-sent: ${end.reason}", sent = false)
-                    is CallEnd.Lost -> Step.MayHaveRun("lost: ${end.reason}")
+
+                    is CallEnd.Lost -> {
+                        if (end.broken) suspicion.broken(request.id, fingerprint, target)
+                        Step.MayHaveRun("lost: ${end.reason}")
+                    }
                 }
             } finally {
                 if (!read) {
@@ -314,6 +340,9 @@
         /** A call with less time left would not be answered. */
         val LEAST_TIME = 40.milliseconds
 
+        /** Part of the time between objective and end that stages may use. */
+        const val LATE_PART = 0.35
+
         /** Part of the time of a request that its stages must leave to the model. */
         val STAGE_RESERVE = 150.milliseconds
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
@@ -19,22 +19,24 @@
     private val calls: TargetCalls,
     private val protocol: ForwardProtocol
 ) {
-    private val waiting = StateCell<PersistentList<StageResult>>(persistentListOf())
+    private class Release(val result: StageResult, val released: () -> Unit)
 
-    /** Releases [results] soon. */
-    public fun release(results: List<StageResult>) {
-        if (results.isEmpty()) return
-        val all = waiting.update { it.addAll(results) }
-        if (all.size == results.size) scope.launch { flushSoon() }
+    private val waiting = StateCell<PersistentList<Release>>(persistentListOf())
+
+    /** Releases [result] soon; [released] runs when its maker has been told. */
+    public fun release(result: StageResult, released: () -> Unit = {}) {
+        val all = waiting.update { it.add(Release(result, released)) }
+        if (all.size == 1) scope.launch { flushSoon() }
     }
 
     private suspend fun flushSoon() {
         delay(COLLECTION_TIME)
-        val results = waiting.decide { Decision(persistentListOf<StageResult>(), it) }
-        results.groupBy { it.maker }.forEach { (maker, made) ->
+        val releases = waiting.decide { Decision(persistentListOf<Release>(), it) }
+        releases.groupBy { it.result.maker }.forEach { (maker, made) ->
             scope.launch {
-                val request = protocol.release(maker.id, made.map { it.handle })
+                val request = protocol.release(maker.id, made.map { it.result.handle })
                 calls.call(maker, request, null, CALL_LIMIT) { it.body.readWhole(ANSWER_LIMIT) }
+                made.forEach { it.released() }
             }
         }
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageWork.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageWork.kt
@@ -6,8 +6,10 @@
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -28,11 +30,12 @@
         request: CallerRequest,
         stages: List<RouteStage>,
         rank: Int,
-        due: MonotonicTime
+        due: MonotonicTime,
+        aim: MonotonicTime
     ): PersistentList<StageResult> {
         val made = mutableListOf<StageResult>()
         try {
-            return coroutineScope { runStages(request, stages, rank, due, made) }
+            return coroutineScope { runStages(request, stages, rank, due, aim, made) }
         } catch (failure: Throwable) {
             // Results of a request that ended early only take room at their makers.
             synchronized(made) { made.toList() }.let(maker::release)
@@ -45,6 +48,7 @@
         stages: List<RouteStage>,
         rank: Int,
         due: MonotonicTime,
+        aim: MonotonicTime,
         made: MutableList<StageResult>
     ): PersistentList<StageResult> {
         val taken = stages.flatMap { it.after }.toSet()
@@ -55,17 +59,27 @@
             launch {
                 earlier[index].map { results[it] }.awaitAll()
                 val inputs = stage.after.map { results[it] }.awaitAll().flatten()
-                val ended = pieces(request, index, stage, inputs, count, rank, due)
+                val ended = pieces(request, index, stage, inputs, count, rank, due, aim)
                 synchronized(made) { made += ended }
                 results[index].complete(ended)
+                maker.release(lastTaken(stages, results, index))
             }
         }
         val all = results.awaitAll()
-        val intermediate = all.filterIndexed { index, _ -> index in taken }.flatten()
-        maker.release(intermediate)
         return all.filterIndexed { index, _ -> index !in taken }.flatten().toPersistentList()
     }
 
+    /** Results that the stage at [index] was the last one to take. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun lastTaken(
+        stages: List<RouteStage>,
+        results: List<CompletableDeferred<List<StageResult>>>,
+        index: Int
+    ): List<StageResult> = stages[index].after
+        .filter { before ->
+            stages.indices.none { before in stages[it].after && !results[it].isCompleted }
+        }.flatMap { results[it].getCompleted() }
+
     private suspend fun pieces(
         request: CallerRequest,
         index: Int,
@@ -73,7 +87,8 @@
         inputs: List<StageResult>,
         count: Int,
         rank: Int,
-        due: MonotonicTime
+        due: MonotonicTime,
+        aim: MonotonicTime
     ): List<StageResult> {
         if (count == 0) return emptyList()
         val handles = inputs.map { it.handle }.toPersistentList()
@@ -83,7 +98,9 @@
                 PieceOrder(request.id, index, piece, Duration.ZERO, key, handles)
             }
         val origin = state.profile.dataCentre
-        val batch = PieceBatch(stage.service, stage.resultBytes, rank, due, origin, orders)
+        val fetched = inputs.bytesByDataCentre().toPersistentMap()
+        val batch =
+            PieceBatch(stage.service, stage.resultBytes, rank, due, aim, fetched, origin, orders)
         return maker.make(batch)
     }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -8,7 +8,9 @@
 import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.adopted
@@ -27,6 +29,8 @@
     private var revision: Long? = null
     private var lost = false
 
+    private val withdrawn = CompletableDeferred<Unit>()
+
     /** Follows the store until cancelled. */
     public suspend fun follow() {
         while (true) {
@@ -44,10 +48,10 @@
         }
     }
 
-    /** Announces this host and renews its lease until cancelled. */
+    /** Announces this host and renews its lease until it is withdrawn. */
     public suspend fun announce() {
         var lease: StoreLease? = null
-        while (true) {
+        while (!withdrawn.isCompleted) {
             lease =
                 try {
                     val held = lease
@@ -64,7 +68,21 @@
                     logWarning("announcement-failed") { "failure" to failure.message }
                     lease
                 }
-            delay(ANNOUNCEMENT_PERIOD)
+            withTimeoutOrNull(ANNOUNCEMENT_PERIOD) { withdrawn.await() }
+        }
+        lease?.let { end(it) }
+    }
+
+    /** Ends the announcement, so that other hosts pass no more work to this one. */
+    public fun withdraw() {
+        withdrawn.complete(Unit)
+    }
+
+    private suspend fun end(lease: StoreLease) {
+        try {
+            store.end(lease)
+        } catch (failure: IOException) {
+            logWarning("withdrawal-failed") { "failure" to failure.message }
         }
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -24,8 +24,11 @@
     /** Nothing was sent. */
     public data class NotSent(public val reason: String) : CallEnd<Nothing>
 
-    /** The target may have run the request; no whole answer came. */
-    public data class Lost(public val reason: String) : CallEnd<Nothing>
+    /**
+     * The target may have run the request; no whole answer came. [broken] tells that the target
+     * ended the connection.
+     */
+    public data class Lost(public val reason: String, public val broken: Boolean) : CallEnd<Nothing>
 
     public data class Ended<T>(public val value: T) : CallEnd<T>
 }
@@ -65,18 +68,18 @@
         state.view(target.id) { it.copy(outstanding = it.outstanding + 1) }
         val exchange = Exchange(connection, target, request, id)
         return try {
-            withTimeoutOrNull(limit) { exchange.run(use) } ?: lost(target, "no answer in $limit")
+            withTimeoutOrNull(limit) { exchange.run(use) } ?: lost(target, "no answer in $limit", broken = false)
         } catch (failure: IOException) {
-            lost(target, failure.message.orEmpty())
+            lost(target, failure.message.orEmpty(), broken = true)
         } finally {
             exchange.finish()
             state.view(target.id) { it.copy(outstanding = it.outstanding - 1) }
         }
     }
 
-    private fun lost(target: TargetRecord, reason: String): CallEnd.Lost {
+    private fun lost(target: TargetRecord, reason: String, broken: Boolean): CallEnd.Lost {
         state.failed(target.id)
-        return CallEnd.Lost(reason)
+        return CallEnd.Lost(reason, broken)
     }
 
     /** One request and its response on [connection]. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/log/EventLog.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/log/EventLog.kt
@@ -3,6 +3,8 @@
  */
 package org.sapphirelever.runtime.log
 
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 import org.tinylog.kotlin.Logger
 
 /** Collects the pairs of one event. */
@@ -23,9 +25,31 @@
         }
 }
 
+/**
+ * Bounds the volume of ordinary events. Warnings are not counted: they are few, and needed when
+ * the volume is high.
+ */
+private object LogBudget {
+    /** Several times the lines of a host under its usual load. */
+    private const val LINES_PER_SECOND = 400
+    private const val NANOSECONDS_PER_SECOND = 1_000_000_000L
+    private val lines = AtomicInteger()
+    private val second = AtomicLong()
+
+    fun permits(): Boolean {
+        val now = System.nanoTime() / NANOSECONDS_PER_SECOND
+        if (second.getAndSet(now) != now) reportDropped(lines.getAndSet(0) - LINES_PER_SECOND)
+        return lines.incrementAndGet() <= LINES_PER_SECOND
+    }
+
+    private fun reportDropped(count: Int) {
+        if (count > 0) logWarning("log-lines-dropped") { "count" to count }
+    }
+}
+
 /** Logs [event] with its [fields] at level info. */
 public fun logEvent(event: String, fields: EventFields.() -> Unit = {}) {
-    Logger.info { EventFields().apply(fields).line(event) }
+    if (LogBudget.permits()) Logger.info { EventFields().apply(fields).line(event) }
 }
 
 /** Logs [event], which needs the attention of an operator. */
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
@@ -20,7 +20,7 @@
 
 /**
  * Asks for the pieces of one stage of [request]. [number] identifies the question on its
- * connection; the answer is of use for [remainingMillis].
+ * connection; the answer is of use for [remainingMillis], and on time for [aimMillis].
  */
 @Serializable
 public data class MakePieces(
@@ -32,7 +32,9 @@
     @CborLabel(FieldLabel.SIXTH) public val rank: Int,
     @CborLabel(FieldLabel.SEVENTH) public val remainingMillis: Long,
     @CborLabel(FieldLabel.EIGHTH) public val dataCentre: String,
-    @CborLabel(FieldLabel.NINTH) public val pieces: List<PieceOrderMessage>
+    @CborLabel(FieldLabel.NINTH) public val aimMillis: Long,
+    @CborLabel(FieldLabel.TENTH) public val inputs: Map<String, Long> = emptyMap(),
+    public val pieces: List<PieceOrderMessage>
 ) : PieceMessage
 
 @Serializable
