--- a/cli/src/main/kotlin/org/sapphirelever/cli/HostCommand.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/HostCommand.kt
@@ -25,10 +25,10 @@
 import org.sapphirelever.core.settings.required
 import org.sapphirelever.core.settings.settings
 import org.sapphirelever.decisions.burn.Objective
-import org.sapphirelever.runtime.store.HttpPlatform
 import org.sapphirelever.runtime.host.EntryHost
 import org.sapphirelever.runtime.host.HostSettings
 import org.sapphirelever.runtime.host.onStopSignal
+import org.sapphirelever.runtime.store.HttpPlatform
 import org.sapphirelever.runtime.target.HttpTargetClient
 
 /** IP number that processes serve on unless told otherwise. */
--- a/cli/src/test/kotlin/org/sapphirelever/cli/ClientCommandsTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ClientCommandsTest.kt
@@ -23,9 +23,9 @@
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.ExitCode
 import org.sapphirelever.core.HostId
-import org.sapphirelever.runtime.store.HttpPlatform
 import org.sapphirelever.runtime.host.EntryHost
 import org.sapphirelever.runtime.host.HostSettings
+import org.sapphirelever.runtime.store.HttpPlatform
 import org.sapphirelever.runtime.target.HttpTargetClient
 import org.sapphirelever.standins.PlatformStandIn
 import org.sapphirelever.standins.PoolStandIn
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/ConfigurationBelief.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/ConfigurationBelief.kt
@@ -30,12 +30,13 @@
 }
 
 /** Adopts [configuration] unless its version is older than the one in force. */
-public fun ConfigurationBelief.adopted(configuration: ForwardingConfiguration): ConfigurationBelief =
-    if (configuration.version > version || table == null) {
-        copy(table = RouteTable(configuration))
-    } else {
-        this
-    }
+public fun ConfigurationBelief.adopted(
+    configuration: ForwardingConfiguration
+): ConfigurationBelief = if (configuration.version > version || table == null) {
+    copy(table = RouteTable(configuration))
+} else {
+    this
+}
 
 /** Notes that the store answered a call that was sent at [sentAt]. */
 public fun ConfigurationBelief.confirmed(sentAt: Moment): ConfigurationBelief =
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -82,9 +82,7 @@
 public fun PieceQueue.add(
     pieces: List<WaitingPiece>,
     context: PieceContext
-): Decision<PieceQueue, StageCall> {
-    return copy(waiting = waiting.addAll(pieces)).start(context)
-}
+): Decision<PieceQueue, StageCall> = copy(waiting = waiting.addAll(pieces)).start(context)
 
 /** Removes pieces whose requests have ended. */
 public fun PieceQueue.remove(numbers: Set<Long>): PieceQueue =
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/SharedRetryBudget.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/SharedRetryBudget.kt
@@ -51,10 +51,7 @@
         return copy(counts = counts.put(service, recent.put(second, changed)))
     }
 
-    private fun recent(
-        service: ServiceName,
-        now: MonotonicTime
-    ): PersistentMap<Long, SecondCount> {
+    private fun recent(service: ServiceName, now: MonotonicTime): PersistentMap<Long, SecondCount> {
         val known = counts[service] ?: return persistentMapOf()
         val oldest = secondOf(now - bounds.window)
         return known.filterKeys { it >= oldest }.toPersistentMap()
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
@@ -37,10 +37,9 @@
         !record.leaving && (missingSince == null || recovering(now))
 
     /** Targets of [service] that may take new work. */
-    public fun usable(service: ServiceName, now: MonotonicTime): List<TargetRecord> =
-        targets.values
-            .filter { it.record.service == service && it.isUsable(now) }
-            .map { it.record }
+    public fun usable(service: ServiceName, now: MonotonicTime): List<TargetRecord> = targets.values
+        .filter { it.record.service == service && it.isUsable(now) }
+        .map { it.record }
 
     /** Whether [id] may still take new work. */
     public fun isUsable(id: TargetId, now: MonotonicTime): Boolean =
--- /dev/null
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/AdmissionDecisionTest.kt
@@ -0,0 +1,94 @@
+/*
+ * Admission of forwarded requests.
+ */
+package org.sapphirelever.decisions.forwarding
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class AdmissionDecisionTest {
+    private val configured =
+        ConfigurationBelief()
+            .adopted(
+                configuration(
+                    7,
+                    route("wide"),
+                    route("narrow", prefix = "/b/"),
+                    route("open", host = "open.example", anonymous = true)
+                )
+            ).confirmed(moment(0))
+
+    private data class Case(
+        val name: String,
+        val host: String = "a.example",
+        val path: String = "/b/1",
+        val key: String? = "key",
+        val now: Moment = moment(100),
+        val belief: ConfigurationBelief? = null,
+        val expected: String
+    )
+
+    /** Guards against 404 without a configuration, and against withdrawn keys that still work. */
+    private val cases =
+        listOf(
+            Case("longest prefix", expected = "narrow for krakow rank 1"),
+            Case("shorter prefix", path = "/c", expected = "wide for krakow rank 1"),
+            Case(
+                "host without regard to case",
+                host = "A.EXAMPLE",
+                expected = "narrow for krakow rank 1"
+            ),
+            Case("unknown host", host = "b.example", expected = "UnknownRoute"),
+            Case("unknown key", key = "other", expected = "UnknownKey"),
+            Case("no key", key = null, expected = "UnknownKey"),
+            Case("anonymous", host = "open.example", key = null, expected = "open for null rank 2"),
+            Case("nothing known", belief = ConfigurationBelief(), expected = "NotReady"),
+            Case("old by the monotonic clock", now = moment(4_100, 0), expected = "Unconfirmed"),
+            Case("old by the wall clock only", now = moment(100, 4_100), expected = "Unconfirmed"),
+            Case(
+                "an unknown route is not denied by an old belief",
+                host = "b.example",
+                now = moment(4_100),
+                expected = "Unconfirmed"
+            ),
+            Case(
+                "anonymous by an old belief",
+                host = "open.example",
+                key = null,
+                now = moment(60_000),
+                expected = "open for null rank 2"
+            )
+        )
+
+    @Test
+    fun `a request is admitted by the configuration in force and its age`() {
+        cases.forEach { case ->
+            val identity = RequestIdentity("1", case.host, case.path, case.key)
+            val admission =
+                (case.belief ?: configured).admit(identity, case.now, greatestBeliefAge(5.seconds))
+            assertEquals(case.expected, text(admission), case.name)
+        }
+    }
+
+    @Test
+    fun `an older configuration never replaces a newer one`() {
+        val belief = configured.adopted(configuration(6, route("old")))
+        assertEquals(7, belief.version)
+        assertEquals(9, belief.adopted(configuration(9)).version)
+    }
+
+    @Test
+    fun `keys are refused a second before their revocation must hold`() {
+        assertEquals(4_000.milliseconds, greatestBeliefAge(5.seconds))
+        assertEquals(0.milliseconds, greatestBeliefAge(500.milliseconds))
+    }
+
+    private fun text(admission: Admission): String = when (admission) {
+        is Admission.Granted ->
+            "${admission.route.name} for ${admission.organisation} rank ${admission.rank}"
+
+        else -> admission::class.simpleName.orEmpty()
+    }
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
@@ -0,0 +1,149 @@
+/*
+ * Calls that start for waiting pieces.
+ */
+package org.sapphirelever.decisions.forwarding
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlinx.collections.immutable.persistentMapOf
+import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.TargetRecord
+
+class PieceQueueTest {
+    private fun piece(
+        number: Long,
+        rank: Int = 1,
+        aim: Long = 1_000,
+        bytes: Long = 0,
+        excluded: String? = null,
+        origin: DataCentre = KRAKOW,
+        inputs: Map<DataCentre, Long> = emptyMap()
+    ): WaitingPiece = WaitingPiece(
+        number = number,
+        request = "request-$number",
+        rank = rank,
+        due = at(5_000),
+        aim = at(aim),
+        excluded = excluded?.let(::TargetId),
+        bytes = bytes,
+        origin = origin,
+        inputs = inputs.entries.fold(persistentMapOf()) { all, (key, value) -> all.put(key, value) }
+    )
+
+    private fun context(
+        targets: List<TargetRecord>,
+        views: Map<TargetId, TargetView> = emptyMap(),
+        hosts: Int = 1,
+        now: MonotonicTime = at(0)
+    ): PieceContext = PieceContext(SERVICE, LIMITS, targets, views, hosts, "entry-1", now)
+
+    private data class Case(
+        val name: String,
+        val pieces: List<WaitingPiece>,
+        val context: PieceContext,
+        val before: PieceQueue = PieceQueue(),
+        val expected: Map<String, List<Long>>
+    )
+
+    private val one = listOf(target("a"))
+    private val two = listOf(target("a"), target("b", TARNOW))
+    private val megabyte = 1_000_000L
+
+    /** Guards against small batches, calls beyond slots or room, and pieces out of their order. */
+    private val cases =
+        listOf(
+            Case(
+                "one call holds pieces of several requests up to a batch",
+                listOf(piece(1), piece(2), piece(3), piece(4)),
+                context(one),
+                expected = mapOf("a" to listOf(1, 2, 3))
+            ),
+            Case(
+                "a target with a call in progress gets no other",
+                listOf(piece(1)),
+                context(one),
+                PieceQueue(calls = persistentMapOf(TargetId("a") to 1)),
+                emptyMap()
+            ),
+            Case(
+                "urgent pieces come first, then those that are due first",
+                listOf(piece(1, rank = 2), piece(2, aim = 900), piece(3, aim = 800), piece(4)),
+                context(one),
+                expected = mapOf("a" to listOf(3, 2, 4))
+            ),
+            Case(
+                "a target without room is not asked",
+                listOf(piece(1, bytes = 500)),
+                context(one),
+                PieceQueue(bytes = persistentMapOf(TargetId("a") to 600)),
+                emptyMap()
+            ),
+            Case(
+                "small results pass a large one that has no room",
+                listOf(piece(1, bytes = 500), piece(2, bytes = 10)),
+                context(one),
+                PieceQueue(bytes = persistentMapOf(TargetId("a") to 600)),
+                mapOf("a" to listOf(2))
+            ),
+            Case(
+                "a result larger than the room is made alone at an empty target",
+                listOf(piece(1, bytes = 5_000), piece(2, bytes = 10)),
+                context(one),
+                expected = mapOf("a" to listOf(1))
+            ),
+            Case(
+                "a target that failed a piece does not get it again",
+                listOf(piece(1, excluded = "a")),
+                context(two),
+                expected = mapOf("b" to listOf(1))
+            ),
+            Case(
+                "a suspect target is left out while others are sound",
+                listOf(piece(1)),
+                context(
+                    two,
+                    mapOf(TargetId("a") to TargetView(failures = 1, failedAt = at(0)))
+                ),
+                expected = mapOf("b" to listOf(1))
+            ),
+            Case(
+                "a piece is made where its inputs are",
+                listOf(piece(1, origin = TARNOW, inputs = mapOf(TARNOW to 3 * megabyte))),
+                context(two),
+                expected = mapOf("b" to listOf(1))
+            ),
+            Case("no target", listOf(piece(1)), context(emptyList()), expected = emptyMap())
+        )
+
+    @Test
+    fun `calls start as far as slots, room and order permit`() {
+        cases.forEach { case ->
+            val calls = case.before.add(case.pieces, case.context).actions
+            assertEquals(
+                case.expected,
+                calls.associate {
+                    it.target.id.value to it.numbers
+                },
+                case.name
+            )
+        }
+    }
+
+    @Test
+    fun `a call that ends frees its slot and the room that it did not use`() {
+        val queue = PieceQueue().add(listOf(piece(1, bytes = 400), piece(2)), context(one)).state
+        assertEquals(400, queue.bytes[TargetId("a")])
+        val ended = queue.ended(TargetId("a"), 400, context(one)).state
+        assertEquals(PieceQueue(), ended)
+    }
+
+    @Test
+    fun `pieces of requests that ended do not start`() {
+        val busy = PieceQueue(calls = persistentMapOf(TargetId("a") to 1))
+        val waiting = busy.add(listOf(piece(1), piece(2)), context(one)).state
+        val next = waiting.remove(setOf(1)).ended(TargetId("a"), 0, context(one)).actions
+        assertEquals(listOf(listOf(2L)), next.map { it.numbers })
+    }
+}
--- a/faults/src/main/kotlin/org/sapphirelever/faults/Hosts.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/Hosts.kt
@@ -33,10 +33,6 @@
 import org.sapphirelever.decisions.configuration.TargetListState
 import org.sapphirelever.decisions.configuration.on
 import org.sapphirelever.decisions.routing.RoutingState
-import org.sapphirelever.runtime.store.LeaseResult
-import org.sapphirelever.runtime.store.Platform
-import org.sapphirelever.runtime.store.StoredValue
-import org.sapphirelever.runtime.store.WriteResult
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.capacity.CapacityController
 import org.sapphirelever.runtime.capacity.CapacitySettings
@@ -56,6 +52,10 @@
 import org.sapphirelever.runtime.request.Explanations
 import org.sapphirelever.runtime.request.RepetitionState
 import org.sapphirelever.runtime.request.RequestExecutor
+import org.sapphirelever.runtime.store.LeaseResult
+import org.sapphirelever.runtime.store.Platform
+import org.sapphirelever.runtime.store.StoredValue
+import org.sapphirelever.runtime.store.WriteResult
 import org.sapphirelever.runtime.target.TokenSink
 import org.sapphirelever.wire.OutcomeMessage
 import org.sapphirelever.wire.RequestMessage
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/capacity/CapacityController.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/capacity/CapacityController.kt
@@ -37,9 +37,9 @@
 import org.sapphirelever.decisions.configuration.ConfigurationState
 import org.sapphirelever.decisions.lease.LeaseTerms
 import org.sapphirelever.decisions.routing.RoutingState
-import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.lease.LeaseHolder
 import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.wire.EngineState
 import org.sapphirelever.wire.LoadMessage
 import org.sapphirelever.wire.OrderMessage
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/ElectedReader.kt
@@ -17,10 +17,10 @@
 import org.sapphirelever.decisions.configuration.targetsFor
 import org.sapphirelever.decisions.membership.ownIsReaderCandidate
 import org.sapphirelever.decisions.routing.Target
-import org.sapphirelever.runtime.store.ListedHost
-import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.lease.LeaseHolder
 import org.sapphirelever.runtime.peer.PeerProtocol
+import org.sapphirelever.runtime.store.ListedHost
+import org.sapphirelever.runtime.store.Platform
 
 /** Reader of the platform for the data centre of this host, while it holds the lease. */
 public class ElectedReader(private val platform: Platform, private val protocol: PeerProtocol) {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/StartingConfiguration.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/feed/StartingConfiguration.kt
@@ -11,10 +11,10 @@
 import kotlinx.serialization.SerializationException
 import org.sapphirelever.decisions.configuration.ConfigurationEvent
 import org.sapphirelever.decisions.configuration.on
-import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.peer.PeerProtocol
+import org.sapphirelever.runtime.store.Platform
 
 /** Asks the platform, and the peers through [awaitPeer], until this host is ready. */
 public class StartingConfiguration(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -80,9 +80,11 @@
             CallerAnswer(connection, head.method == "HEAD") { keeps && shutdown.announcesReady }
         val outcome =
             try {
-                shutdown.admit(request.id) { whileCallerStays(connection) {
-                    forwarding.forward(request, body, arrived, answer)
-                } }
+                shutdown.admit(request.id) {
+                    whileCallerStays(connection) {
+                        forwarding.forward(request, body, arrived, answer)
+                    }
+                }
             } catch (_: SapphireleverException) {
                 answer.whole(protocol.refusal(request.id, NOT_NOW, STOPPING_PAUSE), NO_BODY)
                 ForwardOutcome(NOT_NOW, "stopping")
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -115,7 +115,13 @@
         val forwarding =
             RequestForwarding(protocol, state, calls, stages, pieces, suspicion)
         val server = PieceServer(local, state)
-        launch { sockets.listen(profile.peers).use { it.runSockets { socket -> PeerConnection(socket).use { peer -> server.serve(peer) } } } }
+        launch {
+            sockets.listen(profile.peers).use {
+                it.runSockets { socket ->
+                    PeerConnection(socket).use { peer -> server.serve(peer) }
+                }
+            }
+        }
         val connections =
             CallerConnections(protocol, state, forwarding, shutdown, metrics)
         try {
@@ -146,10 +152,7 @@
         }
     }
 
-    private suspend fun serveText(
-        connection: HttpConnection,
-        answer: () -> Pair<Int, ByteArray>
-    ) {
+    private suspend fun serveText(connection: HttpConnection, answer: () -> Pair<Int, ByteArray>) {
         while (true) {
             connection.receiveRequest() ?: return
             val (status, body) = answer()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
@@ -120,17 +120,16 @@
             }.forEach { start(it, limits) }
         }
 
-        private fun PieceBatch.waiting(): WaitingPiece =
-            WaitingPiece(
-                number = numbers.incrementAndGet(),
-                request = orders.first().request,
-                rank = rank,
-                due = due,
-                aim = aim,
-                bytes = resultBytes,
-                origin = origin,
-                inputs = inputs
-            )
+        private fun PieceBatch.waiting(): WaitingPiece = WaitingPiece(
+            number = numbers.incrementAndGet(),
+            request = orders.first().request,
+            rank = rank,
+            due = due,
+            aim = aim,
+            bytes = resultBytes,
+            origin = origin,
+            inputs = inputs
+        )
 
         private fun submit(pieces: List<Pending>, limits: BatchLimits) {
             pieces.forEach { pending[it.waiting.number] = it }
@@ -192,16 +191,19 @@
 
             is CallEnd.Ended -> {
                 val (reply, body) = end.value
-                val made = if (reply.isSuccess) body?.let { protocol.stageResults(it, count) } else null
+                val made = if (reply.isSuccess) {
+                    body?.let {
+                        protocol.stageResults(it, count)
+                    }
+                } else {
+                    null
+                }
                 made ?: failed("status ${reply.status}", count)
             }
         }
 
-        private fun failed(
-            reason: String,
-            count: Int,
-            sent: Boolean = true
-        ): List<PieceResult> = List(count) { PieceResult.Failed(reason, sent) }
+        private fun failed(reason: String, count: Int, sent: Boolean = true): List<PieceResult> =
+            List(count) { PieceResult.Failed(reason, sent) }
 
         /** Completes [piece] with [result]; returns the bytes that it takes at its maker. */
         private fun finish(
@@ -212,8 +214,11 @@
         ): Long {
             when (result) {
                 is PieceResult.Made -> return keep(piece, result.handle, target, limits)
+
                 is PieceResult.Late -> fail(piece, "late")
+
                 is PieceResult.InputGone -> fail(piece, "input gone")
+
                 is PieceResult.Failed ->
                     retry(piece, target.id, result.reason, result.sent, limits)
             }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
@@ -126,9 +127,10 @@
                     if (message is PiecesMade) pending[message.number]?.complete(message)
                     if (message == null && pending.isNotEmpty()) throw IOException("silent")
                 }
-            } catch (failure: Exception) {
+            } catch (failure: IOException) {
+                lose(open, failure)
+            } catch (failure: SerializationException) {
                 lose(open, failure)
-                if (failure !is IOException) throw failure
             }
         }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -142,8 +142,8 @@
             try {
                 if (route.stages.isNotEmpty()) {
                     val aim = arrived + route.objective
-                    val due = stageDue(aim)
-                    results = stages.run(request, route.stages, granted.rank, due, aim)
+                    val terms = StageTerms(granted.rank, stageDue(aim), aim)
+                    results = stages.run(request, route.stages, terms)
                 }
             } catch (failure: StageFailedException) {
                 return refuse(request, answer, NOT_NOW, "stage-failed: ${failure.reason}", PAUSE)
@@ -242,6 +242,7 @@
                     }
                 return when (end) {
                     is CallEnd.Ended -> end.value
+
                     is CallEnd.NotSent -> Step.NotRun("not-sent: ${end.reason}", sent = false)
 
                     is CallEnd.Lost -> {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageWork.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageWork.kt
@@ -17,25 +17,32 @@
 import org.sapphirelever.core.forwarding.RouteStage
 import org.sapphirelever.decisions.forwarding.stagePredecessors
 
+/**
+ * Urgency of the stages of a request.
+ *
+ * @property due moment after which results are of no use
+ * @property aim moment until which the answer to the request is on time
+ */
+public data class StageTerms(
+    public val rank: Int,
+    public val due: MonotonicTime,
+    public val aim: MonotonicTime
+)
+
 /** Runs the stages of requests; [maker] makes their pieces. */
-public class StageWork(
-    private val maker: PieceMaker,
-    private val state: ForwardingState
-) {
+public class StageWork(private val maker: PieceMaker, private val state: ForwardingState) {
     /**
      * Runs [stages] for [request] and returns the results that no other stage takes. Throws
-     * [StageFailedException] when a piece cannot be made before [due].
+     * [StageFailedException] when a piece cannot be made within [terms].
      */
     public suspend fun run(
         request: CallerRequest,
         stages: List<RouteStage>,
-        rank: Int,
-        due: MonotonicTime,
-        aim: MonotonicTime
+        terms: StageTerms
     ): PersistentList<StageResult> {
         val made = mutableListOf<StageResult>()
         try {
-            return coroutineScope { runStages(request, stages, rank, due, aim, made) }
+            return coroutineScope { runStages(request, stages, terms, made) }
         } catch (failure: Throwable) {
             // Results of a request that ended early only take room at their makers.
             synchronized(made) { made.toList() }.let(maker::release)
@@ -46,9 +53,7 @@
     private suspend fun CoroutineScope.runStages(
         request: CallerRequest,
         stages: List<RouteStage>,
-        rank: Int,
-        due: MonotonicTime,
-        aim: MonotonicTime,
+        terms: StageTerms,
         made: MutableList<StageResult>
     ): PersistentList<StageResult> {
         val taken = stages.flatMap { it.after }.toSet()
@@ -59,7 +64,7 @@
             launch {
                 earlier[index].map { results[it] }.awaitAll()
                 val inputs = stage.after.map { results[it] }.awaitAll().flatten()
-                val ended = pieces(request, index, stage, inputs, count, rank, due, aim)
+                val ended = pieces(request, index, stage, inputs, count, terms)
                 synchronized(made) { made += ended }
                 results[index].complete(ended)
                 maker.release(lastTaken(stages, results, index))
@@ -86,9 +91,7 @@
         stage: RouteStage,
         inputs: List<StageResult>,
         count: Int,
-        rank: Int,
-        due: MonotonicTime,
-        aim: MonotonicTime
+        terms: StageTerms
     ): List<StageResult> {
         if (count == 0) return emptyList()
         val handles = inputs.map { it.handle }.toPersistentList()
@@ -100,7 +103,16 @@
         val origin = state.profile.dataCentre
         val fetched = inputs.bytesByDataCentre().toPersistentMap()
         val batch =
-            PieceBatch(stage.service, stage.resultBytes, rank, due, aim, fetched, origin, orders)
+            PieceBatch(
+                service = stage.service,
+                resultBytes = stage.resultBytes,
+                rank = terms.rank,
+                due = terms.due,
+                aim = terms.aim,
+                inputs = fetched,
+                origin = origin,
+                orders = orders
+            )
         return maker.make(batch)
     }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -68,7 +68,8 @@
         state.view(target.id) { it.copy(outstanding = it.outstanding + 1) }
         val exchange = Exchange(connection, target, request, id)
         return try {
-            withTimeoutOrNull(limit) { exchange.run(use) } ?: lost(target, "no answer in $limit", broken = false)
+            withTimeoutOrNull(limit) { exchange.run(use) }
+                ?: lost(target, "no answer in $limit", broken = false)
         } catch (failure: IOException) {
             lost(target, failure.message.orEmpty(), broken = true)
         } finally {
@@ -143,7 +144,13 @@
     private class TrackedBody(private val body: BodyReader) : BodyReader {
         var isWhole = false
 
-        override suspend fun next(): ByteArray? = body.next().also { if (it == null) isWhole = true }
+        override suspend fun next(): ByteArray? = body.next().also {
+            if (it ==
+                null
+            ) {
+                isWhole = true
+            }
+        }
     }
 
     private companion object {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetPool.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetPool.kt
@@ -65,7 +65,10 @@
         .decide { all ->
             val last = all[target]?.lastOrNull() ?: return@decide all.decide()
             val left = all.getValue(target).removeAt(all.getValue(target).size - 1)
-            Decision(if (left.isEmpty()) all.remove(target) else all.put(target, left), persistentListOf(last))
+            Decision(
+                if (left.isEmpty()) all.remove(target) else all.put(target, left),
+                persistentListOf(last)
+            )
         }.firstOrNull()
 
     private fun PersistentMap<TargetId, PersistentList<IdleConnection>>.withoutExpired(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -23,7 +23,6 @@
 import org.sapphirelever.decisions.routing.TargetPolicy
 import org.sapphirelever.decisions.supervision.RestartPolicy
 import org.sapphirelever.decisions.supervision.Strategy
-import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.capacity.CapacityController
 import org.sapphirelever.runtime.capacity.CapacitySettings
@@ -49,6 +48,7 @@
 import org.sapphirelever.runtime.request.RequestExecutor
 import org.sapphirelever.runtime.request.RequestRoutes
 import org.sapphirelever.runtime.resource.ResourceRoutes
+import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.supervision.Supervisor
 import org.sapphirelever.runtime.supervision.SupervisorFailedException
 import org.sapphirelever.runtime.supervision.supervisor
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/lease/LeaseHolder.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/lease/LeaseHolder.kt
@@ -12,11 +12,11 @@
 import org.sapphirelever.decisions.lease.LeaseState
 import org.sapphirelever.decisions.lease.LeaseTerms
 import org.sapphirelever.decisions.lease.on
-import org.sapphirelever.runtime.store.LeaseResult
-import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.runtime.store.LeaseResult
+import org.sapphirelever.runtime.store.Platform
 
 /** Holds the lease [name] for [holder], whose name is unique among all processes. */
 internal class LeaseHolder(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerNetwork.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/peer/PeerNetwork.kt
@@ -12,12 +12,12 @@
 import org.sapphirelever.decisions.membership.Member
 import org.sapphirelever.decisions.membership.MemberId
 import org.sapphirelever.decisions.routing.Target
-import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.feed.ElectedReader
 import org.sapphirelever.runtime.feed.StartingConfiguration
 import org.sapphirelever.runtime.host.HostSettings
 import org.sapphirelever.runtime.keys.KeyHandoverOffer
 import org.sapphirelever.runtime.keys.KeyRequests
+import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.supervision.SupervisorBuilder
 
 /** Peers and configuration of the process with [incarnation]. */
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
@@ -30,9 +30,9 @@
 import org.sapphirelever.decisions.attempt.AnswerIdentity
 import org.sapphirelever.decisions.attempt.AttemptResult
 import org.sapphirelever.decisions.attempt.StageAnswer
+import org.sapphirelever.runtime.feed.FakePlatform
 import org.sapphirelever.runtime.store.ListedHost
 import org.sapphirelever.runtime.store.StoredValue
-import org.sapphirelever.runtime.feed.FakePlatform
 import org.sapphirelever.runtime.target.CallResult
 import org.sapphirelever.runtime.target.TargetCall
 import org.sapphirelever.runtime.target.TargetClient
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/peer/EntryHostsTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/peer/EntryHostsTest.kt
@@ -29,7 +29,6 @@
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.Incarnation
 import org.sapphirelever.core.Revision
-import org.sapphirelever.runtime.store.ListedHost
 import org.sapphirelever.runtime.feed.FakePlatform
 import org.sapphirelever.runtime.host.EntryHost
 import org.sapphirelever.runtime.host.HostSettings
@@ -37,6 +36,7 @@
 import org.sapphirelever.runtime.keys.KeyHandoverOffer
 import org.sapphirelever.runtime.keys.KeyOwner
 import org.sapphirelever.runtime.keys.KeyRequests
+import org.sapphirelever.runtime.store.ListedHost
 import org.sapphirelever.runtime.target.CallResult
 import org.sapphirelever.runtime.target.TargetCall
 import org.sapphirelever.runtime.target.TargetClient
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/transport/HttpConnectionTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/transport/HttpConnectionTest.kt
@@ -24,7 +24,12 @@
     private val cases =
         listOf(
             Case("length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false, "body"),
-            Case("short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", false, null),
+            Case(
+                "short of its length",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody",
+                false,
+                null
+            ),
             Case("until close", "HTTP/1.1 200 OK\r\n\r\nbody", false, "body"),
             Case("reset before close", "HTTP/1.1 200 OK\r\n\r\nbody", true, null),
             Case(
--- a/standins/src/main/kotlin/org/sapphirelever/standins/MemoryPlatform.kt
+++ b/standins/src/main/kotlin/org/sapphirelever/standins/MemoryPlatform.kt
@@ -10,13 +10,13 @@
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.decisions.Decision
+import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.store.LeaseRequestMessage
 import org.sapphirelever.runtime.store.LeaseResult
 import org.sapphirelever.runtime.store.ListedHost
 import org.sapphirelever.runtime.store.Platform
 import org.sapphirelever.runtime.store.StoredValue
 import org.sapphirelever.runtime.store.WriteResult
-import org.sapphirelever.runtime.StateCell
 
 /** Platform in memory; [faults] applies to each later call. */
 public class MemoryPlatform(private val clock: MonotonicClock) : Platform {
--- a/standins/src/main/kotlin/org/sapphirelever/standins/PlatformStandIn.kt
+++ b/standins/src/main/kotlin/org/sapphirelever/standins/PlatformStandIn.kt
@@ -24,6 +24,10 @@
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.SystemMonotonicClock
 import org.sapphirelever.decisions.Decision
+import org.sapphirelever.runtime.http.Routes
+import org.sapphirelever.runtime.http.answer
+import org.sapphirelever.runtime.http.readText
+import org.sapphirelever.runtime.http.respondJson
 import org.sapphirelever.runtime.store.HostListMessage
 import org.sapphirelever.runtime.store.LeaseRequestMessage
 import org.sapphirelever.runtime.store.ListedHostMessage
@@ -31,10 +35,6 @@
 import org.sapphirelever.runtime.store.RevisionMessage
 import org.sapphirelever.runtime.store.ValueMessage
 import org.sapphirelever.runtime.store.WeightMessage
-import org.sapphirelever.runtime.http.Routes
-import org.sapphirelever.runtime.http.answer
-import org.sapphirelever.runtime.http.readText
-import org.sapphirelever.runtime.http.respondJson
 
 private typealias LeaseTransition =
     PlatformState.(String, LeaseRequestMessage, MonotonicTime) ->
