--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -22,6 +22,7 @@
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.SystemMonotonicClock
 import org.sapphirelever.core.forwarding.HostProfile
+import org.sapphirelever.decisions.forwarding.greatestBeliefAge
 import org.sapphirelever.decisions.supervision.RestartPolicy
 import org.sapphirelever.decisions.supervision.Strategy
 import org.sapphirelever.runtime.host.GracefulShutdown
@@ -55,6 +56,9 @@
         )
     private val metrics = ForwardingMetrics(state)
 
+    /** A host that refuses keys must not be sent callers. */
+    private val readyAge = minOf(READY_AGE, greatestBeliefAge(profile.revocationLimit))
+
     /** Begins a graceful stop. */
     public fun signal() {
         feed.withdraw()
@@ -139,7 +143,7 @@
 
     private fun readiness(): Int {
         val belief = state.belief.value
-        val fresh = belief.age(state.moment())?.let { it < READY_AGE } == true
+        val fresh = belief.age(state.moment())?.let { it < readyAge } == true
         val hasTargets = state.directory.value.targets.isNotEmpty()
         val ready = shutdown.announcesReady && fresh && belief.table != null && hasTargets
         return if (ready) OK else UNAVAILABLE
@@ -154,11 +158,13 @@
 
     private suspend fun serveText(connection: HttpConnection, answer: () -> Pair<Int, ByteArray>) {
         while (true) {
-            connection.receiveRequest() ?: return
+            val request = connection.receiveRequest() ?: return
+            val keeps = !request.headers.hasToken("Connection", "close")
             val (status, body) = answer()
             val type = Header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
             val head = ResponseHead(status, "Answer", Headers(persistentListOf(type)))
-            CallerAnswer(connection, withoutBody = false) { true }.whole(head, body)
+            CallerAnswer(connection, withoutBody = false) { keeps }.whole(head, body)
+            if (!keeps) return
         }
     }
 
