Take a link for silent only while it owes an answer

Cause: the reader waited 450 ms for any message and then took the link for silent if a question was pending, also one asked just before; the cancelled read also lost its place between frames. Each loss made the hosts do their own stage calls for 2 s, which is what broke the room accounts and the batches. Change: PeerLiveness decides from the last sign of life and the first open question; a task of its own watches it.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -20,6 +21,11 @@
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.forwarding.PeerLiveness
+import org.sapphirelever.decisions.forwarding.answered
+import org.sapphirelever.decisions.forwarding.asked
+import org.sapphirelever.decisions.forwarding.heard
+import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.peer.PeerConnection
@@ -59,6 +65,8 @@
         private val connecting = Mutex()
         private val pending = ConcurrentHashMap<Long, CompletableDeferred<PiecesMade>>()
 
+        private val liveness = StateCell(PeerLiveness())
+
         @Volatile
         private var connection: PeerConnection? = null
 
@@ -70,6 +78,7 @@
             val number = numbers.incrementAndGet()
             val answer = CompletableDeferred<PiecesMade>()
             pending[number] = answer
+            liveness.update { it.asked(state.clock.now()) }
             try {
                 send(open, batch.toMessage(number))
                 val left = batch.due - state.clock.now()
@@ -80,6 +89,7 @@
                 return made.results.map { it.toResult(batch) }
             } finally {
                 pending.remove(number)
+                liveness.update { it.answered() }
                 if (!answer.isCompleted) abandon(open, number)
             }
         }
@@ -114,18 +124,18 @@
                 }
             connection = opened
             scope.launch { read(opened) }
+            scope.launch { watch(opened) }
             logEvent("peer-connected") { "peer" to owner }
             opened
         }
 
-        /** Reads answers until the connection ends or falls silent although work is pending. */
+        /** Reads answers until the connection ends. */
         private suspend fun read(open: PeerConnection) {
             try {
                 while (true) {
-                    val message =
-                        withTimeoutOrNull(SILENCE_LIMIT) { open.receive(IDLE_LIMIT) }
+                    val message = open.receive(IDLE_LIMIT)
+                    liveness.update { it.heard(state.clock.now()) }
                     if (message is PiecesMade) pending[message.number]?.complete(message)
-                    if (message == null && pending.isNotEmpty()) throw IOException("silent")
                 }
             } catch (failure: IOException) {
                 lose(open, failure)
@@ -134,9 +144,17 @@
             }
         }
 
+        /** Gives the connection up when the peer owes an answer and falls silent. */
+        private suspend fun watch(open: PeerConnection) {
+            while (connection === open) {
+                delay(WATCH_PERIOD)
+                if (liveness.value.isSilent(state.clock.now())) lose(open, IOException("silent"))
+            }
+        }
+
         private suspend fun send(open: PeerConnection, message: PeerMessage) {
             try {
-                open.send(message, SILENCE_LIMIT)
+                open.send(message, PeerLiveness.SILENCE_LIMIT)
             } catch (failure: IOException) {
                 lose(open, failure)
                 throw PeerUnavailableException("connection lost", failure)
@@ -147,7 +165,7 @@
             if (connection !== open) return
             withContext(NonCancellable) {
                 try {
-                    open.send(AbandonPieces(number), SILENCE_LIMIT)
+                    open.send(AbandonPieces(number), PeerLiveness.SILENCE_LIMIT)
                 } catch (failure: IOException) {
                     lose(open, failure)
                 }
@@ -199,8 +217,8 @@
     }
 
     private companion object {
-        /** A host with pending work tells so every 150 ms; two may be lost. */
-        val SILENCE_LIMIT = 450.milliseconds
+        /** Short against the silence that ends a connection. */
+        val WATCH_PERIOD = 100.milliseconds
 
         /** Longer than any pause between requests that matters; then the link is opened anew. */
         val IDLE_LIMIT = 60.seconds
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/metrics/PrometheusMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/metrics/PrometheusMetrics.kt
@@ -1,5 +1,5 @@
 /*
- * Metrics in the Prometheus text format on `/metrics`. docs/operations.md explains them.
+ * Metrics in the Prometheus text format on `/metrics`. docs/OPERATIONS.md explains them.
  */
 package org.sapphirelever.runtime.metrics
 
