--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.Moment
 import org.sapphirelever.decisions.forwarding.adopted
 import org.sapphirelever.decisions.forwarding.confirmed
 import org.sapphirelever.decisions.forwarding.listed
@@ -61,7 +62,7 @@
                         store.announce(
                             state.profile.host,
                             state.profile.peers,
-                            ANNOUNCEMENT_LIFETIME
+                            maxOf(ANNOUNCEMENT_LIFETIME, state.profile.leaseFloor)
                         )
                     }
                 } catch (failure: IOException) {
@@ -95,7 +96,7 @@
         revision = maxOf(facts.revision, known ?: 0)
     }
 
-    private fun answered(sentAt: org.sapphirelever.decisions.forwarding.Moment) {
+    private fun answered(sentAt: Moment) {
         state.directory.update { it.storeAnswered(state.clock.now()) }
         state.belief.update { it.confirmed(sentAt) }
         if (!lost) return
