Keep one copy of the choice of sound targets; take extra calls at once

Read-through of the change. The filter for suspect targets and the size of a megabyte stood in EngineChoice and PieceQueue, and the memory of failures beside the retry budget, which does not use it. takeExtraCall checked the budget and took from it in two steps, so that two requests could take the last call; it is one decision of the cell now. Removed: TargetDirectory.isUsable(id) and a default argument, which nothing used. No other behaviour changes.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
@@ -5,6 +5,7 @@
 package org.sapphirelever.decisions.forwarding
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
@@ -76,7 +77,7 @@
     here: DataCentre,
     now: MonotonicTime
 ): TargetRecord? {
-    val sound = candidates.filterNot { views[it.id]?.isSuspect(now) == true }.ifEmpty { candidates }
+    val sound = candidates.soundOrAll(views, now)
     val home = prompt.shared.lastOrNull()?.let { homeOf(it.id, sound) }
     return sound.minByOrNull { engine ->
         val view = views[engine.id] ?: TargetView()
@@ -87,6 +88,12 @@
     }
 }
 
+/** These targets without suspect ones, or all of them if there are no others. */
+internal fun List<TargetRecord>.soundOrAll(
+    views: Map<TargetId, TargetView>,
+    now: MonotonicTime
+): List<TargetRecord> = filterNot { views[it.id]?.isSuspect(now) == true }.ifEmpty { this }
+
 private fun homeOf(part: String, engines: List<TargetRecord>): TargetId? =
     engines.maxByOrNull { rendezvousRank(part, it.id.value) }?.id
 
@@ -129,12 +136,15 @@
 
 /** Added for each megabyte of results that crosses between data centres to the engine. */
 private const val REMOTE_MILLIS_PER_MEGABYTE = 60.0
-private const val BYTES_PER_MEGABYTE = 1_000_000.0
+internal const val BYTES_PER_MEGABYTE = 1_000_000.0
 
 /** Share of a part's tokens that are counted as unread at its home without own knowledge. */
 private const val UNSEEN_AT_HOME = 0.4
 
 private const val USUAL_PERCENT = 100
 
+/** Period over which a target's failures count against it. */
+internal val FAILURE_MEMORY: Duration = 2.seconds
+
 /** Age after which a report says nothing about the load of a target. */
 private val REPORT_LIFETIME: Duration = FAILURE_MEMORY
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -134,13 +134,9 @@
     return kotlin.math.ceil(share).toInt().coerceAtLeast(1)
 }
 
-private fun PieceContext.isSuspect(target: TargetRecord): Boolean =
-    views[target.id]?.isSuspect(now) == true
-
 /** The next call: to the target that suits the first waiting piece that has room somewhere. */
 private fun PieceQueue.nextCall(context: PieceContext): StageCall? {
-    val sound = context.candidates.filterNot { context.isSuspect(it) }
-    val usable = sound.ifEmpty { context.candidates }
+    val usable = context.candidates.soundOrAll(context.views, context.now)
     val free = usable.filter { (calls[it.id] ?: 0) < context.limits.slots }
     return free
         .mapNotNull { target -> callTo(target, context)?.let { target to it } }
@@ -216,8 +212,6 @@
 /** Time by which a piece is put back for each megabyte of its request that crosses. */
 private val MEGABYTE_ALLOWANCE = 90.milliseconds
 
-private const val BYTES_PER_MEGABYTE = 1_000_000.0
-
 /** Part of a call by which preferences of a host between equal targets differ. */
 private const val TIE_CALLS = 0.02
 private const val PREFERENCES = 8L
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/SharedRetryBudget.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/SharedRetryBudget.kt
@@ -6,7 +6,6 @@
 package org.sapphirelever.decisions.forwarding
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
@@ -67,6 +66,3 @@
         const val MINIMUM_HOSTS = 6
     }
 }
-
-/** Period over which a target's failures count against it. */
-internal val FAILURE_MEMORY: Duration = 2.seconds
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
@@ -41,10 +41,6 @@
         .filter { it.record.service == service && it.isUsable(now) }
         .map { it.record }
 
-    /** Whether [id] may still take new work. */
-    public fun isUsable(id: TargetId, now: MonotonicTime): Boolean =
-        targets[id]?.isUsable(now) == true
-
     public companion object {
         /** Time after which a record that lapsed during an outage is back if its target lives. */
         public val RECOVERY: Duration = 2.seconds
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -4,6 +4,7 @@
 package org.sapphirelever.runtime.forward
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.HostId
@@ -12,6 +13,8 @@
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.HostProfile
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.Decision
+import org.sapphirelever.decisions.decide
 import org.sapphirelever.decisions.forwarding.ConfigurationBelief
 import org.sapphirelever.decisions.forwarding.LoadReport
 import org.sapphirelever.decisions.forwarding.Moment
@@ -81,8 +84,14 @@
     /** Takes one extra call to [service] from the budget, if there is one. */
     public fun takeExtraCall(service: ServiceName): Boolean {
         val now = clock.now()
-        if (!budget.value.permits(service, hosts.value.size, now)) return false
-        budget.update { it.counted(service, now, extra = 1) }
-        return true
+        val taken =
+            budget.decide { known ->
+                if (known.permits(service, hosts.value.size, now)) {
+                    Decision(known.counted(service, now, extra = 1), persistentListOf(Unit))
+                } else {
+                    known.decide()
+                }
+            }
+        return taken.isNotEmpty()
     }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
@@ -24,7 +24,7 @@
     private val waiting = StateCell<PersistentList<Release>>(persistentListOf())
 
     /** Releases [result] soon; [released] runs when its maker has been told. */
-    public fun release(result: StageResult, released: () -> Unit = {}) {
+    public fun release(result: StageResult, released: () -> Unit) {
         val all = waiting.update { it.add(Release(result, released)) }
         if (all.size == 1) scope.launch { flushSoon() }
     }
