Load serving classes before a host has tasks of its own

Cause: processes ended with code 134 some 0.3 s after their start (SIGILL in read of the C library). The reports show one thread that reads classes from the jar while other threads of the host start. Change: the classes that serve requests are loaded on one thread before the selector and the supervisor tree start. Ruled out: a pool of one thread (6 of 535 starts still ended so).

--- a/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
@@ -18,6 +18,7 @@
 import org.sapphirelever.runtime.forward.ForwardingHost
 import org.sapphirelever.runtime.host.onReloadSignal
 import org.sapphirelever.runtime.host.onStopSignal
+import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.transport.Sockets
 
@@ -25,6 +26,22 @@
 public object ForwardCommand : Command {
     private const val METRICS_PORT = 9_464L
 
+    /** Packages with the classes that serve requests. */
+    private val SERVING_PACKAGES =
+        listOf(
+            "org/sapphirelever/core/forwarding/",
+            "org/sapphirelever/decisions/forwarding/",
+            "org/sapphirelever/platform/",
+            "org/sapphirelever/runtime/forward/",
+            "org/sapphirelever/runtime/transport/",
+            "org/sapphirelever/runtime/supervision/",
+            "org/sapphirelever/wire/peer/",
+            "io/ktor/http/cio/",
+            "io/ktor/network/selector/",
+            "io/ktor/network/sockets/",
+            "kotlinx/collections/immutable/implementations/"
+        )
+
     private val file = required("settings", TextType, "settings file of the users' platform")
     private val metricsPort = defaulted("metrics-port", PortType, METRICS_PORT, "port of metrics")
     private val checkOnly =
@@ -56,6 +73,8 @@
             invocation.output.println("settings are valid")
             return ExitCode.SUCCESS
         }
+        val classes = preloadClasses(ForwardingHost::class.java, SERVING_PACKAGES)
+        logEvent("classes-loaded") { "count" to classes }
         return Sockets().use { sockets ->
             val store = StoreClient(profile.store, sockets)
             val host = ForwardingHost(profile, PlatformProtocol, store, sockets)
