--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
@@ -45,6 +45,7 @@
  * @property cached parts that this host's requests had read there, the latest last
  * @property failures consecutive calls that broke
  * @property failedAt time of the last of them
+ * @property slowedAt time of the last call that took far longer than its work
  */
 public data class TargetView(
     public val outstanding: Int = 0,
@@ -52,10 +53,12 @@
     public val cached: PersistentMap<String, MonotonicTime> = persistentMapOf(),
     public val report: LoadReport? = null,
     public val failures: Int = 0,
-    public val failedAt: MonotonicTime? = null
+    public val failedAt: MonotonicTime? = null,
+    public val slowedAt: MonotonicTime? = null
 ) {
-    /** Whether recent calls broke, so that the target is taken only if no other is left. */
+    /** Whether recent calls broke or dragged; such a target is taken only if no other is left. */
     public fun isSuspect(now: MonotonicTime): Boolean {
+        if (slowedAt != null && now - slowedAt < FAILURE_MEMORY) return true
         val since = failedAt ?: return false
         return now - since < FAILURE_MEMORY * failures.coerceAtMost(MAXIMUM_FAILURES)
     }
@@ -123,7 +126,7 @@
 }
 
 /** Prompt tokens that an engine reads in a millisecond, about, when nothing else runs. */
-private const val PREFILL_TOKENS_PER_MILLI = 40.0
+internal const val PREFILL_TOKENS_PER_MILLI = 40.0
 
 /** Delay that one running request adds to the others, in milliseconds. */
 private const val RUNNING_MILLIS = 2.0
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -5,6 +5,7 @@
 package org.sapphirelever.decisions.forwarding
 
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
@@ -66,17 +67,37 @@
     public val now: MonotonicTime
 )
 
+/** End of a call that made [count] pieces. */
+public data class MadePieces(public val at: MonotonicTime, public val count: Int)
+
 /**
  * Waiting pieces of one service.
  *
  * @property calls calls in progress, by target
  * @property bytes size of the results that targets keep or are making, by target
+ * @property made calls that ended lately
+ * @property waitingSince time since which pieces have been waiting without a break
  */
 public data class PieceQueue(
     public val waiting: PersistentList<WaitingPiece> = persistentListOf(),
     public val calls: PersistentMap<TargetId, Int> = persistentMapOf(),
-    public val bytes: PersistentMap<TargetId, Long> = persistentMapOf()
-)
+    public val bytes: PersistentMap<TargetId, Long> = persistentMapOf(),
+    public val made: PersistentList<MadePieces> = persistentListOf(),
+    public val waitingSince: MonotonicTime? = null
+) {
+    /** Pieces made in a millisecond, or null if targets were not busy long enough to tell. */
+    internal fun recentRate(now: MonotonicTime): Double? {
+        val since = waitingSince ?: return null
+        if (now - since < RATE_WINDOW) return null
+        val recent = made.filter { now - it.at < RATE_WINDOW }.sumOf { it.count }
+        return recent / RATE_WINDOW.toDouble(DurationUnit.MILLISECONDS)
+    }
+
+    internal fun noteWaiting(now: MonotonicTime): PieceQueue = when {
+        waiting.isEmpty() -> if (waitingSince == null) this else copy(waitingSince = null)
+        else -> if (waitingSince == null) copy(waitingSince = now) else this
+    }
+}
 
 /** Adds [pieces] and starts calls as far as permitted. */
 public fun PieceQueue.add(
@@ -94,18 +115,28 @@
     return copy(bytes = if (left > 0) bytes.put(target, left) else bytes.remove(target))
 }
 
-/**
- * Notes the end of a call to [target], whose results lack [unmade] bytes of what was expected, and
- * starts the next ones.
- */
+/** What a call to [target] left: [count] pieces, [unmade] bytes less than was expected. */
+public data class EndedCall(
+    public val target: TargetId,
+    public val unmade: Long,
+    public val count: Int
+)
+
+/** Notes the end of [call] and starts the next ones. */
 public fun PieceQueue.ended(
-    target: TargetId,
-    unmade: Long,
+    call: EndedCall,
     context: PieceContext
 ): Decision<PieceQueue, StageCall> {
-    val left = (calls[target] ?: 0) - 1
-    val counted = if (left > 0) calls.put(target, left) else calls.remove(target)
-    return copy(calls = counted).released(target, unmade).start(context)
+    val left = (calls[call.target] ?: 0) - 1
+    val counted = if (left > 0) calls.put(call.target, left) else calls.remove(call.target)
+    val recent =
+        made
+            .filter { context.now - it.at < RATE_WINDOW }
+            .toPersistentList()
+            .add(MadePieces(context.now, call.count))
+    return copy(calls = counted, made = recent)
+        .released(call.target, call.unmade)
+        .start(context)
 }
 
 /** Starts as many calls as this host may have in progress. */
@@ -121,7 +152,7 @@
         )
         started += call
     }
-    return Decision(queue, started.toPersistentList())
+    return Decision(queue.noteWaiting(context.now), started.toPersistentList())
 }
 
 /**
@@ -197,6 +228,9 @@
     return ahead + distance + preference
 }
 
+/** Period over which the rate of made pieces is measured; a few calls long. */
+private val RATE_WINDOW = 1_000.milliseconds
+
 /** Calls in progress for each slot, over all hosts. */
 private const val CALLS_PER_SLOT = 1.5
 
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
@@ -135,15 +135,17 @@
     fun `a call that ends frees its slot and the room that it did not use`() {
         val queue = PieceQueue().add(listOf(piece(1, bytes = 400), piece(2)), context(one)).state
         assertEquals(400, queue.bytes[TargetId("a")])
-        val ended = queue.ended(TargetId("a"), 400, context(one)).state
-        assertEquals(PieceQueue(), ended)
+        val ended = queue.ended(EndedCall(TargetId("a"), 400, 0), context(one)).state
+        assertEquals(PieceQueue(), ended.copy(made = PieceQueue().made))
     }
 
     @Test
     fun `pieces of requests that ended do not start`() {
         val busy = PieceQueue(calls = persistentMapOf(TargetId("a") to 1))
         val waiting = busy.add(listOf(piece(1), piece(2)), context(one)).state
-        val next = waiting.remove(setOf(1)).ended(TargetId("a"), 0, context(one)).actions
+        val next = waiting.remove(
+            setOf(1)
+        ).ended(EndedCall(TargetId("a"), 0, 1), context(one)).actions
         assertEquals(listOf(listOf(2L)), next.map { it.numbers })
     }
 }
--- /dev/null
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StageForecastTest.kt
@@ -0,0 +1,152 @@
+/*
+ * What stage work is expected to take, and when a request is not worth starting.
+ */
+package org.sapphirelever.decisions.forwarding
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.BatchLimits
+import org.sapphirelever.core.forwarding.RouteStage
+
+class StageForecastTest {
+    private val limits = BatchLimits(1, 2, 10, 200.milliseconds, 10.milliseconds, 0, 4.seconds)
+    private val chain =
+        listOf(
+            RouteStage(ServiceName("encode")),
+            RouteStage(ServiceName("rank"), persistentListOf(0)),
+            RouteStage(ServiceName("image"))
+        )
+
+    private data class TimeCase(
+        val name: String,
+        val counts: List<Int>,
+        val waits: Map<String, Int>,
+        val expectedMillis: Int
+    )
+
+    /** Guards against requests that start although a later stage cannot take them. */
+    private val times =
+        listOf(
+            TimeCase("two stages in turn", listOf(1, 4, 0), emptyMap(), 210 + 240),
+            TimeCase("no pieces", listOf(0, 0, 0), emptyMap(), 0),
+            TimeCase(
+                "a wait at the second stage, and full batches there",
+                listOf(1, 4, 0),
+                mapOf("rank" to 500),
+                210 + 500 + 300
+            ),
+            TimeCase(
+                "the longest of parallel stages counts",
+                listOf(1, 4, 2),
+                mapOf("image" to 900),
+                210 + 900 + 300
+            )
+        )
+
+    @Test
+    fun `waits and calls add up along the longest chain`() {
+        times.forEach { case ->
+            val time =
+                expectedStageTime(
+                    chain,
+                    case.counts,
+                    { limits },
+                    { (case.waits[it.value] ?: 0).milliseconds }
+                )
+            assertEquals(case.expectedMillis.milliseconds, time, case.name)
+        }
+    }
+
+    private data class StartCase(
+        val name: String,
+        val idleMillis: Int,
+        val expectedMillis: Int,
+        val pauseMillis: Int?
+    )
+
+    /** Guards against work for answers that come too late, and against refusals without need. */
+    private val starts =
+        listOf(
+            StartCase("in time", 900, 1_900, null),
+            StartCase("late", 900, 2_600, 600),
+            StartCase("barely late", 900, 2_010, 300),
+            StartCase("far too late", 900, 9_000, 2_000),
+            StartCase("never in time, but nothing waits", 2_500, 2_500, null),
+            StartCase("never in time, little waits", 2_500, 2_800, null),
+            StartCase("never in time, and much waits", 2_500, 3_900, 1_000)
+        )
+
+    @Test
+    fun `a request starts only if it can be answered in time`() {
+        starts.forEach { case ->
+            val terms =
+                StartTerms(
+                    2_000.milliseconds,
+                    case.idleMillis.milliseconds,
+                    case.expectedMillis.milliseconds
+                )
+            assertEquals(case.pauseMillis?.milliseconds, terms.pauseBeforeStart(), case.name)
+        }
+    }
+
+    private data class WaitCase(
+        val name: String,
+        val queue: PieceQueue,
+        val rank: Int,
+        val now: Long,
+        val wait: Duration
+    )
+
+    private fun waiting(vararg ranks: Int): PieceQueue = PieceQueue(
+        waiting =
+            ranks
+                .mapIndexed { index, rank ->
+                    WaitingPiece(index.toLong(), "request-$index", rank, at(9_000))
+                }.toPersistentList()
+    )
+
+    private val thirty = IntArray(30) { it / 20 }
+    private val busy =
+        waiting(*thirty).copy(
+            waitingSince = at(0),
+            made = persistentListOf(MadePieces(at(1_500), 10)),
+            calls = persistentMapOf(TargetId("a") to 1)
+        )
+
+    /** Guards against waits that ignore rank, or a target that does less than its limits permit. */
+    private val waits =
+        listOf(
+            WaitCase("more urgent pieces only", waiting(*thirty), 0, 0, 600.milliseconds),
+            WaitCase("all pieces before it", waiting(*thirty), 1, 0, 900.milliseconds),
+            WaitCase("what was made lately", busy, 0, 2_000, 2_000.milliseconds),
+            WaitCase("not yet long enough to tell", busy, 0, 500, 600.milliseconds),
+            WaitCase("out of date", waiting(*thirty), 0, -1, Duration.ZERO)
+        )
+
+    @Test
+    fun `pieces wait as long as those before them take`() {
+        waits.forEach { case ->
+            val now = at(case.now.coerceAtLeast(0))
+            val context =
+                PieceContext(
+                    ServiceName("encode"),
+                    limits,
+                    listOf(target("a")),
+                    emptyMap(),
+                    1,
+                    "entry-1",
+                    now
+                )
+            val asked = if (case.now < 0) at(5_000) else now
+            assertEquals(case.wait, case.queue.outlook(context).wait(case.rank, asked), case.name)
+        }
+    }
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -22,6 +22,7 @@
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.SystemMonotonicClock
 import org.sapphirelever.core.forwarding.HostProfile
+import org.sapphirelever.decisions.forwarding.expectedSharers
 import org.sapphirelever.decisions.forwarding.greatestBeliefAge
 import org.sapphirelever.decisions.supervision.RestartPolicy
 import org.sapphirelever.decisions.supervision.Strategy
@@ -135,11 +136,8 @@
         }
     }
 
-    /** Hosts that make calls to [service]: this one alone if the service is assigned to it. */
-    private fun sharers(service: ServiceName): Int {
-        val hosts = state.hosts.value.keys
-        return if (assignedHost(service, hosts) == profile.host) 1 else hosts.size
-    }
+    private fun sharers(service: ServiceName): Int =
+        expectedSharers(service, state.hosts.value.keys, profile.host)
 
     private fun readiness(): Int {
         val belief = state.belief.value
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -76,6 +76,11 @@
         view(target) { it.copy(failures = it.failures + 1, failedAt = clock.now()) }
     }
 
+    /** Notes that a call to [target] took far longer than its work. */
+    public fun slowed(target: TargetId) {
+        view(target) { it.copy(slowedAt = clock.now()) }
+    }
+
     /** Counts a request for [service], from which the budget of extra calls is earned. */
     public fun countRequest(service: ServiceName) {
         budget.update { it.counted(service, clock.now(), requests = 1) }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
@@ -16,12 +16,16 @@
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.BatchLimits
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.EndedCall
 import org.sapphirelever.decisions.forwarding.PieceContext
 import org.sapphirelever.decisions.forwarding.PieceQueue
+import org.sapphirelever.decisions.forwarding.ServiceOutlook
 import org.sapphirelever.decisions.forwarding.StageCall
 import org.sapphirelever.decisions.forwarding.WaitingPiece
 import org.sapphirelever.decisions.forwarding.add
+import org.sapphirelever.decisions.forwarding.callDuration
 import org.sapphirelever.decisions.forwarding.ended
+import org.sapphirelever.decisions.forwarding.outlook
 import org.sapphirelever.decisions.forwarding.released
 import org.sapphirelever.decisions.forwarding.remove
 import org.sapphirelever.decisions.forwarding.start
@@ -55,6 +59,13 @@
         results.forEach { releases.release(it) { queue(it.maker.service).free(it.handle) } }
     }
 
+    override fun outlook(service: ServiceName): ServiceOutlook? = queues[service]?.outlook()
+
+    /** Expected waiting times of all services for which pieces wait. */
+    public fun outlooks(): Map<ServiceName, ServiceOutlook> = queues.keys
+        .mapNotNull { service -> outlook(service)?.let { service to it } }
+        .toMap()
+
     private fun queue(service: ServiceName): ServiceQueue =
         queues.computeIfAbsent(service) { ServiceQueue(it) }
 
@@ -107,10 +118,18 @@
             )
         }
 
+        /** Expected waiting times of new pieces, or null if none wait. */
+        fun outlook(): ServiceOutlook? {
+            val waiting = queue.value.takeIf { it.waiting.isNotEmpty() } ?: return null
+            return limits()?.let { waiting.outlook(context(it)) }
+        }
+
+        private fun limits(): BatchLimits? = state.belief.value.table?.service(service)?.batching
+
         /** Notes that a result takes no more room. */
         fun free(handle: String) {
             val result = held.remove(handle) ?: return
-            val limits = state.belief.value.table?.service(service)?.batching
+            val limits = limits()
             if (limits == null) {
                 queue.update { it.released(result.maker.id, result.bytes) }
                 return
@@ -141,12 +160,14 @@
         private fun start(call: StageCall, limits: BatchLimits) {
             val pieces = call.numbers.mapNotNull { pending.remove(it) }
             scope.launch {
-                var unmade = call.bytes
+                var made = emptyList<StageResult>()
                 try {
-                    if (pieces.isNotEmpty()) unmade -= perform(call.target, pieces, limits)
+                    if (pieces.isNotEmpty()) made = perform(call.target, pieces, limits)
                 } finally {
+                    val unmade = call.bytes - made.sumOf { it.bytes }
+                    val ended = EndedCall(call.target.id, unmade, made.size)
                     queue
-                        .decide { it.ended(call.target.id, unmade, context(limits)) }
+                        .decide { it.ended(ended, context(limits)) }
                         .forEach { start(it, limits) }
                 }
             }
@@ -156,27 +177,30 @@
             target: TargetRecord,
             pieces: List<Pending>,
             limits: BatchLimits
-        ): Long {
+        ): List<StageResult> {
             val now = state.clock.now()
             val orders = pieces.map { it.order.copy(remaining = it.waiting.due - now) }
-            val longest = orders.maxOf { it.remaining }
+            val usual = limits.callDuration(pieces.size)
+            val longest = minOf(orders.maxOf { it.remaining }, usual * SILENT_FACTOR)
             val request = protocol.stageCall(target.id, orders)
             val end =
                 calls.call(target, request, null, longest) { response ->
                     val body = response.body.readWhole(RESULTS_LIMIT)
                     response.reply to body
                 }
+            val took = state.clock.now() - now
+            if (took > usual * SLOW_FACTOR) state.slowed(target.id)
             val results = results(end, pieces.size)
             logEvent("stage-call") {
                 "service" to service
                 "target" to target.id
                 "pieces" to pieces.size
                 "waiting" to queue.value.waiting.size
-                "took-ms" to (state.clock.now() - now).inWholeMilliseconds
+                "took-ms" to took.inWholeMilliseconds
                 "requests" to pieces.map { it.order.request }.distinct().joinToString(",")
                 "failed" to results.filterNot { it is PieceResult.Made }.firstOrNull()
             }
-            return pieces.zip(results).sumOf { (piece, result) ->
+            return pieces.zip(results).mapNotNull { (piece, result) ->
                 finish(piece, result, target, limits)
             }
         }
@@ -205,13 +229,13 @@
         private fun failed(reason: String, count: Int, sent: Boolean = true): List<PieceResult> =
             List(count) { PieceResult.Failed(reason, sent) }
 
-        /** Completes [piece] with [result]; returns the bytes that it takes at its maker. */
+        /** Completes [piece] with [result]; returns what now takes room at its maker, if any. */
         private fun finish(
             piece: Pending,
             result: PieceResult,
             target: TargetRecord,
             limits: BatchLimits
-        ): Long {
+        ): StageResult? {
             when (result) {
                 is PieceResult.Made -> return keep(piece, result.handle, target, limits)
 
@@ -222,7 +246,7 @@
                 is PieceResult.Failed ->
                     retry(piece, target.id, result.reason, result.sent, limits)
             }
-            return 0
+            return null
         }
 
         private fun keep(
@@ -230,7 +254,7 @@
             handle: String,
             target: TargetRecord,
             limits: BatchLimits
-        ): Long {
+        ): StageResult {
             val made = StageResult(handle, target, piece.waiting.bytes)
             held[handle] = made
             if (!piece.result.complete(made)) release(listOf(made))
@@ -239,7 +263,7 @@
                 delay(limits.resultLifetime)
                 free(handle)
             }
-            return made.bytes
+            return made
         }
 
         private fun retry(
@@ -250,7 +274,7 @@
             limits: BatchLimits
         ) {
             val left = piece.waiting.due - state.clock.now()
-            val hopeless = left < limits.callTime + limits.pieceTime
+            val hopeless = left < limits.callDuration(1)
             val repeats = sent && !state.takeExtraCall(service)
             if (hopeless || piece.tries >= MAXIMUM_TRIES || repeats) {
                 fail(piece, reason)
@@ -283,6 +307,15 @@
         /** Calls after the first that one piece may take part in. */
         const val MAXIMUM_TRIES = 3
 
+        /** A call that takes this many times its usual time is given up: the target is silent. */
+        const val SILENT_FACTOR = 4
+
+        /**
+         * A call that takes this many times its usual time tells that the target is slow. Brief
+         * disturbances by neighbours stay below.
+         */
+        const val SLOW_FACTOR = 3
+
         /** Results are handles of some tens of bytes each. */
         const val RESULTS_LIMIT = 262_144
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
@@ -8,6 +8,9 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
@@ -19,9 +22,10 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import org.sapphirelever.core.HostId
-import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.decisions.forwarding.PeerLiveness
+import org.sapphirelever.decisions.forwarding.ServiceOutlook
 import org.sapphirelever.decisions.forwarding.answered
 import org.sapphirelever.decisions.forwarding.asked
 import org.sapphirelever.decisions.forwarding.heard
@@ -37,6 +41,7 @@
 import org.sapphirelever.wire.peer.PieceOrderMessage
 import org.sapphirelever.wire.peer.PiecesMade
 import org.sapphirelever.wire.peer.ReleaseResults
+import org.sapphirelever.wire.peer.WorkContinues
 
 /** Links to other hosts; their readers run in [scope]. */
 public class PieceLinks(
@@ -58,6 +63,13 @@
     public fun release(owner: HostId, results: List<StageResult>): Boolean =
         link(owner).release(results)
 
+    /** Whether [owner] did not answer lately. */
+    public fun isAvoided(owner: HostId): Boolean = links[owner]?.isAvoided == true
+
+    /** Expected waiting time of pieces of [service] as [owner] told it last, if it did. */
+    public fun outlook(owner: HostId, service: ServiceName): ServiceOutlook? =
+        links[owner]?.outlooks?.get(service)
+
     private fun link(owner: HostId): Link = links.computeIfAbsent(owner) { Link(it) }
 
     /** The link to one host; it is connected when it is needed. */
@@ -71,7 +83,12 @@
         private var connection: PeerConnection? = null
 
         @Volatile
-        private var avoidedUntil: MonotonicTime = MonotonicTime.ZERO
+        var isAvoided: Boolean = false
+            private set
+
+        @Volatile
+        var outlooks: PersistentMap<ServiceName, ServiceOutlook> = persistentMapOf()
+            private set
 
         suspend fun make(batch: PieceBatch): List<StageResult> {
             val open = connected()
@@ -110,9 +127,14 @@
             return true
         }
 
-        private suspend fun connected(): PeerConnection = connecting.withLock {
+        private suspend fun connected(): PeerConnection {
+            connection?.let { return it }
+            if (isAvoided) throw PeerUnavailableException("avoided")
+            return connect()
+        }
+
+        private suspend fun connect(): PeerConnection = connecting.withLock {
             connection?.let { return@withLock it }
-            if (state.clock.now() < avoidedUntil) throw PeerUnavailableException("avoided")
             val endpoint =
                 state.hosts.value[owner] ?: throw PeerUnavailableException("unknown host")
             val opened =
@@ -135,7 +157,11 @@
                 while (true) {
                     val message = open.receive(IDLE_LIMIT)
                     liveness.update { it.heard(state.clock.now()) }
-                    if (message is PiecesMade) pending[message.number]?.complete(message)
+                    when (message) {
+                        is PiecesMade -> pending[message.number]?.complete(message)
+                        is WorkContinues -> outlooks = message.toOutlooks()
+                        else -> throw IOException("unexpected ${message::class.simpleName}")
+                    }
                 }
             } catch (failure: IOException) {
                 lose(open, failure)
@@ -187,11 +213,28 @@
         }
 
         private fun avoid(failure: Throwable) {
-            avoidedUntil = state.clock.now() + AVOIDANCE
+            if (isAvoided) return
+            isAvoided = true
             logEvent("peer-avoided") {
                 "peer" to owner
                 "failure" to failure.message
             }
+            scope.launch { reconnect() }
+        }
+
+        /** Ends the avoidance as soon as a connection opens again, at no request's expense. */
+        private suspend fun reconnect() {
+            while (owner in state.hosts.value) {
+                delay(RECONNECT_PERIOD)
+                try {
+                    connect()
+                    break
+                } catch (_: PeerUnavailableException) {
+                    // Still unreachable; the loss has been logged.
+                    continue
+                }
+            }
+            isAvoided = false
         }
 
         private fun PieceBatch.toMessage(number: Long): MakePieces = MakePieces(
@@ -212,7 +255,15 @@
             val maker =
                 state.directory.value.targets[TargetId(maker)]?.record
                     ?: throw StageFailedException("${batch.service}: unknown maker $maker")
-            return StageResult(handle, maker, batch.resultBytes)
+            return StageResult(handle, maker, batch.resultBytes, owner)
+        }
+
+        private fun WorkContinues.toOutlooks(): PersistentMap<ServiceName, ServiceOutlook> {
+            val now = state.clock.now()
+            return outlooks.associate { told ->
+                val waits = told.waitMillis.mapValues { it.value.milliseconds }
+                ServiceName(told.service) to ServiceOutlook(waits.toPersistentMap(), now)
+            }.toPersistentMap()
         }
     }
 
@@ -224,7 +275,7 @@
         val IDLE_LIMIT = 60.seconds
         val CONNECT_LIMIT = 250.milliseconds
 
-        /** Time in which this host makes its own calls before it tries the link again. */
-        val AVOIDANCE = 2.seconds
+        /** Pause between attempts to reach a host again that did not answer. */
+        val RECONNECT_PERIOD = 1.seconds
     }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceMaker.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceMaker.kt
@@ -5,15 +5,22 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import org.sapphirelever.core.DataCentre
+import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.ServiceOutlook
 
-/** A result of a stage and the target that keeps it. */
+/**
+ * A result of a stage and the target that keeps it.
+ *
+ * @property account host that keeps account of the room at the target; null if this host does
+ */
 public data class StageResult(
     public val handle: String,
     public val maker: TargetRecord,
-    public val bytes: Long
+    public val bytes: Long,
+    public val account: HostId? = null
 )
 
 /** The stages of a request did not end; the request itself has not run. */
@@ -46,6 +53,9 @@
 
     /** Gives up [results], which take room at their makers. */
     public fun release(results: List<StageResult>)
+
+    /** Expected waiting time of pieces of [service], or null if nothing waits there. */
+    public fun outlook(service: ServiceName): ServiceOutlook?
 }
 
 /** Size of these results by the data centre that keeps them. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
@@ -18,16 +18,18 @@
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.forwarding.ServiceOutlook
 import org.sapphirelever.runtime.peer.PeerConnection
 import org.sapphirelever.wire.peer.AbandonPieces
 import org.sapphirelever.wire.peer.MadePieceMessage
 import org.sapphirelever.wire.peer.MakePieces
+import org.sapphirelever.wire.peer.OutlookMessage
 import org.sapphirelever.wire.peer.PiecesMade
 import org.sapphirelever.wire.peer.ReleaseResults
 import org.sapphirelever.wire.peer.WorkContinues
 
 /** Makes pieces with [maker] for the hosts that ask. */
-public class PieceServer(private val maker: PieceMaker, private val state: ForwardingState) {
+public class PieceServer(private val maker: LocalPieces, private val state: ForwardingState) {
     /** Serves [connection] until it ends; pieces that are then waiting are given up. */
     public suspend fun serve(connection: PeerConnection): Unit = coroutineScope {
         val jobs = ConcurrentHashMap<Long, Job>()
@@ -52,10 +54,16 @@
     private suspend fun reportWork(connection: PeerConnection, jobs: Map<Long, Job>) {
         while (true) {
             delay(REPORT_PERIOD)
-            if (jobs.isNotEmpty()) connection.send(WorkContinues)
+            val outlooks = maker.outlooks()
+            if (jobs.isNotEmpty() || outlooks.isNotEmpty()) {
+                connection.send(WorkContinues(outlooks.map { it.toMessage() }))
+            }
         }
     }
 
+    private fun Map.Entry<ServiceName, ServiceOutlook>.toMessage(): OutlookMessage =
+        OutlookMessage(key.value, value.waits.mapValues { it.value.inWholeMilliseconds })
+
     private suspend fun answer(connection: PeerConnection, message: MakePieces) {
         val answer =
             try {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -18,8 +18,10 @@
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.Admission
 import org.sapphirelever.decisions.forwarding.PromptShape
+import org.sapphirelever.decisions.forwarding.StartTerms
 import org.sapphirelever.decisions.forwarding.admit
 import org.sapphirelever.decisions.forwarding.chooseEngine
+import org.sapphirelever.decisions.forwarding.expectedFirstToken
 import org.sapphirelever.decisions.forwarding.greatestBeliefAge
 import org.sapphirelever.decisions.keys.Fingerprint
 import org.sapphirelever.runtime.log.logEvent
@@ -141,6 +143,9 @@
         suspend fun run(): ForwardOutcome {
             try {
                 if (route.stages.isNotEmpty()) {
+                    pauseBeforeStart()?.let { pause ->
+                        return refuse(request, answer, NOT_NOW, "stages-overloaded", pause)
+                    }
                     val aim = arrived + route.objective
                     val terms = StageTerms(granted.rank, stageDue(aim), aim)
                     results = stages.run(request, route.stages, terms)
@@ -155,6 +160,28 @@
             }
         }
 
+        /** Time after which a caller does better to come back, or null to start now. */
+        private fun pauseBeforeStart(): Duration? {
+            val stageTime = stages.expectedTime(request, route.stages, granted.rank)
+            val engineTime = expectedFirstToken(request.prompt?.tokens ?: 0)
+            val terms =
+                StartTerms(
+                    objective = route.objective,
+                    idle = stageTime.idle + engineTime,
+                    expected = stageTime.now + engineTime
+                )
+            val pause = terms.pauseBeforeStart() ?: return null
+            logEvent("start-refused") {
+                "request" to request.id
+                "route" to route.name
+                "expected-ms" to terms.expected.inWholeMilliseconds
+                "idle-ms" to terms.idle.inWholeMilliseconds
+                "objective-ms" to terms.objective.inWholeMilliseconds
+                "pause-ms" to pause.inWholeMilliseconds
+            }
+            return pause
+        }
+
         /**
          * Time until which the stages must end. Work that is far beyond its objective earns little
          * and delays other requests, so it is given up before the caller's patience ends.
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageWork.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageWork.kt
@@ -4,6 +4,7 @@
 package org.sapphirelever.runtime.forward
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.ZERO
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
@@ -14,7 +15,9 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.forwarding.RouteStage
+import org.sapphirelever.decisions.forwarding.expectedStageTime
 import org.sapphirelever.decisions.forwarding.stagePredecessors
 
 /**
@@ -29,6 +32,9 @@
     public val aim: MonotonicTime
 )
 
+/** Expected time of the stages of a request when nothing else waits, and [now]. */
+public data class StageExpectation(public val idle: Duration, public val now: Duration)
+
 /** Runs the stages of requests; [maker] makes their pieces. */
 public class StageWork(private val maker: PieceMaker, private val state: ForwardingState) {
     /**
@@ -50,6 +56,22 @@
         }
     }
 
+    /** Expected time until [stages] have ended for [request], which has this [rank]. */
+    public fun expectedTime(
+        request: CallerRequest,
+        stages: List<RouteStage>,
+        rank: Int
+    ): StageExpectation {
+        val table = state.belief.value.table
+        val now = state.clock.now()
+        val limits = { service: ServiceName -> table?.service(service)?.batching }
+        val waits = { service: ServiceName -> maker.outlook(service)?.wait(rank, now) ?: ZERO }
+        return StageExpectation(
+            idle = expectedStageTime(stages, request.pieceCounts, limits) { ZERO },
+            now = expectedStageTime(stages, request.pieceCounts, limits, waits)
+        )
+    }
+
     private suspend fun CoroutineScope.runStages(
         request: CallerRequest,
         stages: List<RouteStage>,
@@ -98,7 +120,7 @@
         val key = request.pieceKey.takeIf { stage.after.isEmpty() || handles.isEmpty() }
         val orders =
             List(count) { piece ->
-                PieceOrder(request.id, index, piece, Duration.ZERO, key, handles)
+                PieceOrder(request.id, index, piece, ZERO, key, handles)
             }
         val origin = state.profile.dataCentre
         val fetched = inputs.bytesByDataCentre().toPersistentMap()
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
@@ -62,6 +62,15 @@
     @CborLabel(FieldLabel.SECOND) public val results: List<MadePieceMessage>
 ) : PieceMessage
 
-/** Tells that questions are still being worked on. */
+/** Expected waiting time in milliseconds of new pieces of [service], by their rank. */
 @Serializable
-public data object WorkContinues : PieceMessage
+public data class OutlookMessage(
+    @CborLabel(FieldLabel.FIRST) public val service: String,
+    @CborLabel(FieldLabel.SECOND) public val waitMillis: Map<Int, Long> = emptyMap()
+)
+
+/** Tells that the sender works on questions, and how long new ones are expected to wait. */
+@Serializable
+public data class WorkContinues(
+    @CborLabel(FieldLabel.FIRST) public val outlooks: List<OutlookMessage> = emptyList()
+) : PieceMessage
