Give up stage results at the first event and keep the pieces of a request together

Change: all streams give their results up at the first event; one that goes on at another engine has them made again within the budget of extra calls. A call takes whole requests where it can.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -178,23 +178,44 @@
         }
 }
 
-/** The pieces of a call to [target]: the first ones that it has room for. */
+/**
+ * The pieces of a call to [target]: the first ones that it has room for. The pieces of a request
+ * stay together, since the next stage takes all of them and those made first would only take room.
+ */
 private fun PieceQueue.callTo(target: TargetRecord, context: PieceContext): List<WaitingPiece>? {
     val share = context.limits.roomBytes / context.hosts.coerceAtLeast(1) * ROOM_IN_USE
     var room = share - (bytes[target.id] ?: 0)
     val unused = (bytes[target.id] ?: 0) == 0L
     val alone = context.candidates.size == 1
     val taken = mutableListOf<WaitingPiece>()
-    for (piece in inOrder(target.dataCentre)) {
+    val requests =
+        inOrder(target.dataCentre)
+            .filter { it.excluded != target.id || alone }
+            .groupBy { it.request }
+            .values
+    for (pieces in requests) {
+        val free = context.limits.batch - taken.size
+        val fitting = pieces.take(free).takeWhileSum(room)
+        if (taken.isEmpty()) {
+            taken += if (unused) fitting.ifEmpty { pieces.take(1) } else fitting
+        } else if (fitting.size == pieces.size) {
+            taken += fitting
+        }
+        room = share - (bytes[target.id] ?: 0) - taken.sumOf { it.bytes }
         if (taken.size >= context.limits.batch) break
-        val fits = piece.bytes <= room || (unused && taken.isEmpty())
-        if (!fits || (piece.excluded == target.id && !alone)) continue
-        taken += piece
-        room -= piece.bytes
     }
     return taken.ifEmpty { null }
 }
 
+/** The first pieces that take at most [room] together. */
+private fun List<WaitingPiece>.takeWhileSum(room: Double): List<WaitingPiece> {
+    var left = room
+    return takeWhile { piece ->
+        left -= piece.bytes
+        left >= 0 || piece.bytes == 0L
+    }
+}
+
 /**
  * The waiting pieces in the order in which a target in [dataCentre] makes them: by rank, then by
  * the time until which they are on time, with an allowance for bytes that need not cross. Pieces
@@ -238,7 +259,7 @@
 private const val UNKNOWN_CALLS = 0.5
 
 /** Part of the room of a target that is used; sizes of results are approximate. */
-private const val ROOM_IN_USE = 0.9
+private const val ROOM_IN_USE = 0.98
 
 /** Calls that a near target may have ahead of a far one, for each megabyte that crosses. */
 private const val REMOTE_CALLS_PER_MEGABYTE = 0.35
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
@@ -19,10 +19,11 @@
         bytes: Long = 0,
         excluded: String? = null,
         origin: DataCentre = KRAKOW,
-        inputs: Map<DataCentre, Long> = emptyMap()
+        inputs: Map<DataCentre, Long> = emptyMap(),
+        request: String = "request-$number"
     ): WaitingPiece = WaitingPiece(
         number = number,
-        request = "request-$number",
+        request = request,
         rank = rank,
         due = at(5_000),
         aim = at(aim),
@@ -93,6 +94,24 @@
                 context(one),
                 expected = mapOf("a" to listOf(1))
             ),
+            Case(
+                "the pieces of a request are not divided to fill a call",
+                listOf(
+                    piece(1, aim = 800),
+                    piece(2, aim = 900, request = "whole"),
+                    piece(3, aim = 900, request = "whole"),
+                    piece(4, aim = 900, request = "whole"),
+                    piece(5, aim = 950)
+                ),
+                context(one),
+                expected = mapOf("a" to listOf(1, 5))
+            ),
+            Case(
+                "a request larger than a call is divided",
+                (1L..4L).map { piece(it, request = "large") },
+                context(one),
+                expected = mapOf("a" to listOf(1, 2, 3))
+            ),
             Case(
                 "a target that failed a piece does not get it again",
                 listOf(piece(1, excluded = "a")),
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -14,7 +14,6 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
-import org.sapphirelever.core.forwarding.Repetition
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.Admission
 import org.sapphirelever.decisions.forwarding.PromptShape
@@ -134,6 +133,7 @@
         private val until = arrived + patience
         private val stream = StreamDelivery(answer, protocol, request.lastEvent)
         private var results: PersistentList<StageResult> = persistentListOf()
+        private var resultsTaken = false
         private var excluded: PersistentSet<TargetId> = persistentSetOf()
         private var ran = 0
         private var refusals = 0
@@ -146,9 +146,7 @@
                     pauseBeforeStart()?.let { pause ->
                         return refuse(request, answer, NOT_NOW, "stages-overloaded", pause)
                     }
-                    val aim = arrived + route.objective
-                    val terms = StageTerms(granted.rank, stageDue(aim), aim)
-                    results = stages.run(request, route.stages, terms)
+                    runStages()
                 }
             } catch (failure: StageFailedException) {
                 return refuse(request, answer, NOT_NOW, "stage-failed: ${failure.reason}", PAUSE)
@@ -160,6 +158,41 @@
             }
         }
 
+        private suspend fun runStages() {
+            val aim = arrived + route.objective
+            results = stages.run(request, route.stages, StageTerms(granted.rank, stageDue(aim), aim))
+        }
+
+        /**
+         * Makes the results of the stages again for a stream that goes on at another engine. The
+         * first engine had taken them, and their room was given up then.
+         */
+        private suspend fun remakeResults(): Boolean {
+            if (!resultsTaken) return true
+            val pieces = route.stages.zip(request.pieceCounts)
+            val permitted =
+                pieces.all { (stage, count) ->
+                    List(count) { state.takeExtraCall(stage.service) }.all { it }
+                }
+            if (!permitted) return false
+            resultsTaken = false
+            return try {
+                results =
+                    stages.run(
+                        request,
+                        route.stages,
+                        StageTerms(granted.rank, until - STAGE_RESERVE, arrived)
+                    )
+                true
+            } catch (failure: StageFailedException) {
+                logEvent("results-not-remade") {
+                    "request" to request.id
+                    "reason" to failure.reason
+                }
+                false
+            }
+        }
+
         /** Time after which a caller does better to come back, or null to start now. */
         private fun pauseBeforeStart(): Duration? {
             val stageTime = stages.expectedTime(request, route.stages, granted.rank)
@@ -205,7 +238,7 @@
                     is Step.MayHaveRun -> {
                         ran++
                         excluded = excluded.add(target.id)
-                        if (!mayRepeat()) return giveUp(step.cause)
+                        if (!mayRepeat() || !remakeResults()) return giveUp(step.cause)
                     }
 
                     is Step.Failed -> {
@@ -300,7 +333,8 @@
             if (route.repetition.isStream && reply.isSuccess) {
                 stream.deliver(response) {
                     noteRead()
-                    if (route.repetition == Repetition.STREAM_ONCE) releaseResults()
+                    resultsTaken = results.isNotEmpty()
+                    releaseResults()
                 }
                 return Step.Done(ForwardOutcome(reply.status, "answered", target.id))
             }
