--- a/cli/src/main/kotlin/org/sapphirelever/cli/ClassPreload.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ClassPreload.kt
@@ -11,7 +11,7 @@
 /** Loads the classes of [packages] from the jar that holds [anchor]; returns how many. */
 internal fun preloadClasses(anchor: Class<*>, packages: List<String>): Int {
     val source = File(anchor.protectionDomain.codeSource.location.toURI())
-    // Classes in a directory are those of a build in progress, which nobody waits for.
+    // Classes of a build directory are loaded one by one as before; that is only so in tests.
     if (!source.isFile) return 0
     return JarFile(source).use { jar ->
         val names =
--- a/cli/src/main/kotlin/org/sapphirelever/cli/Command.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/Command.kt
@@ -40,5 +40,8 @@
     /** Checks across settings, before anything starts. */
     public fun FindingCollector.check(values: SettingValues): Unit = Unit
 
+    /** Runs on the main thread before the process has any other task. */
+    public fun prepare(): Unit = Unit
+
     public suspend fun run(invocation: Invocation): ExitCode
 }
--- a/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
@@ -18,7 +18,6 @@
 import org.sapphirelever.runtime.forward.ForwardingHost
 import org.sapphirelever.runtime.host.onReloadSignal
 import org.sapphirelever.runtime.host.onStopSignal
-import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.transport.Sockets
 
@@ -66,6 +65,10 @@
         }
     }
 
+    override fun prepare() {
+        preloadClasses(ForwardingHost::class.java, SERVING_PACKAGES)
+    }
+
     override suspend fun run(invocation: Invocation): ExitCode {
         val profile =
             readHostFile(invocation.values[file], invocation.values[metricsPort].toInt())
@@ -73,8 +76,6 @@
             invocation.output.println("settings are valid")
             return ExitCode.SUCCESS
         }
-        val classes = preloadClasses(ForwardingHost::class.java, SERVING_PACKAGES)
-        logEvent("classes-loaded") { "count" to classes }
         return Sockets().use { sockets ->
             val store = StoreClient(profile.store, sockets)
             val host = ForwardingHost(profile, PlatformProtocol, store, sockets)
--- a/cli/src/main/kotlin/org/sapphirelever/cli/Main.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/Main.kt
@@ -88,6 +88,7 @@
                 with(command) { check(values) }
             }
         val invocation = Invocation(values, parsed.arguments, output, errors)
+        command.prepare()
         return runBlocking(Dispatchers.Default) { command.run(invocation) }
     }
 
