Take short requests while a host waits for others to end; send callers elsewhere sooner

Change: while a host waits for its last requests it takes those that end before the wait does; a refused caller is told to come back after 50 ms when the host stops, and after 200 ms when it is not ready. A caller refused for overload comes back after four times the excess.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
@@ -116,13 +116,16 @@
     /** Time after which the request can start with success, or null if it can start now. */
     public fun pauseBeforeStart(): Duration? {
         val bound = maxOf(objective, idle + objective * LEAST_SLACK)
-        return if (expected <= bound) null else (expected - bound).coerceIn(PAUSES)
+        return if (expected <= bound) null else ((expected - bound) * DRAIN_FACTOR).coerceIn(PAUSES)
     }
 
     private companion object {
         /** Waiting that is accepted at least, as a part of the objective. */
         const val LEAST_SLACK = 0.2
 
+        /** New requests keep arriving while the excess is worked off. */
+        const val DRAIN_FACTOR = 4
+
         /** Shorter pauses find the same load; longer ones leave callers too little time. */
         val PAUSES = 300.milliseconds..2_000.milliseconds
     }
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/shutdown/ShutdownState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/shutdown/ShutdownState.kt
@@ -34,15 +34,27 @@
     /** Whether the host is in the balancer's view. */
     public val announcesReady: Boolean get() = phase == ShutdownPhase.SERVING
 
-    /** Whether a new call is admitted; calls during the balancer delay still are. */
-    public val admits: Boolean get() = phase <= ShutdownPhase.ANNOUNCED
+    /**
+     * Whether a new call of at most [longest] is admitted: during the balancer delay always, and
+     * afterwards if it ends while the host waits for others.
+     */
+    public fun admits(longest: Duration?, now: MonotonicTime): Boolean = when (phase) {
+        ShutdownPhase.SERVING, ShutdownPhase.ANNOUNCED -> true
+        ShutdownPhase.DRAINING -> longest != null && now + longest < until
+        ShutdownPhase.STEPPING, ShutdownPhase.STOPPED -> false
+    }
 }
 
 public sealed interface ShutdownEvent {
     /** SIGTERM or SIGINT. */
     public data object Signal : ShutdownEvent
 
-    public data class CallArrived(public val call: Long, public val label: String) : ShutdownEvent
+    /** A call arrived that takes at most [longest]; null if that is not known. */
+    public data class CallArrived(
+        public val call: Long,
+        public val label: String,
+        public val longest: Duration? = null
+    ) : ShutdownEvent
 
     public data class CallEnded(public val call: Long) : ShutdownEvent
 
@@ -76,7 +88,7 @@
     now: MonotonicTime
 ): Decision<ShutdownState, ShutdownAction> = when (event) {
     ShutdownEvent.Signal -> onSignal(now)
-    is ShutdownEvent.CallArrived -> onArrival(event)
+    is ShutdownEvent.CallArrived -> onArrival(event, now)
     is ShutdownEvent.CallEnded -> copy(inFlight = inFlight.remove(event.call)).advance(now)
     ShutdownEvent.Tick -> advance(now)
     ShutdownEvent.StepsEnded -> onStepsEnded()
@@ -103,9 +115,10 @@
     inFlight.toSortedMap().values.map { ShutdownAction.ReportCutOff(it) }
 
 private fun ShutdownState.onArrival(
-    event: ShutdownEvent.CallArrived
+    event: ShutdownEvent.CallArrived,
+    now: MonotonicTime
 ): Decision<ShutdownState, ShutdownAction> {
-    if (!admits) return decide(ShutdownAction.Refuse)
+    if (!admits(event.longest, now)) return decide(ShutdownAction.Refuse)
     return copy(inFlight = inFlight.put(event.call, event.label)).decide(ShutdownAction.Admit)
 }
 
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/shutdown/ShutdownStateTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/shutdown/ShutdownStateTest.kt
@@ -54,6 +54,19 @@
                     step(60, CallEnded(2), RunSteps)
                 )
             ),
+            ShutdownCase(
+                "a short request is taken while others are awaited, if it ends before the limit",
+                ShutdownPhase.DRAINING,
+                listOf(
+                    step(0, CallArrived(1, "a"), Admit),
+                    step(1, Signal, TickAt(at(6))),
+                    step(6, Tick, TickAt(at(66))),
+                    step(64, CallArrived(2, "b", 1.seconds), Admit),
+                    step(64, CallArrived(3, "c", 2.seconds), Refuse),
+                    step(65, CallArrived(4, "d", 1.seconds), Refuse),
+                    step(65, CallEnded(1))
+                )
+            ),
             ShutdownCase(
                 "the drain limit ends the wait and reports what it cuts off",
                 ShutdownPhase.STOPPED,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -6,6 +6,7 @@
 
 import java.io.IOException
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
@@ -80,7 +81,7 @@
             CallerAnswer(connection, head.method == "HEAD") { keeps && shutdown.announcesReady }
         val outcome =
             try {
-                shutdown.admit(request.id) {
+                shutdown.admit(request.id, forwarding.longest(request)) {
                     whileCallerStays(connection) {
                         forwarding.forward(request, body, arrived, answer)
                     }
@@ -160,8 +161,8 @@
         const val NOT_NOW = 503
         val NO_BODY = ByteArray(0)
 
-        /** The balancer sends new connections to other hosts within this time. */
-        val STOPPING_PAUSE = 1.seconds
+        /** Callers come back on a new connection, which reaches another host. */
+        val STOPPING_PAUSE = 50.milliseconds
 
         /** Until a configuration is known, requests are read only to be refused. */
         val STARTING_LIMITS =
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -6,7 +6,6 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
@@ -76,6 +75,15 @@
         }
     }
 
+    /** Time that [request] takes at most, or null for a stream, which may go on for long. */
+    public fun longest(request: CallerRequest): Duration? {
+        val table = state.belief.value.table ?: return Duration.ZERO
+        val route =
+            table.route(request.identity.host, request.identity.path) ?: return Duration.ZERO
+        if (route.repetition.isStream || route.stages.isNotEmpty()) return null
+        return minOf(request.patience ?: route.timeLimit, route.timeLimit) + LATE_ANSWER
+    }
+
     private fun fingerprintOf(
         request: CallerRequest,
         body: ByteArray,
@@ -414,8 +422,8 @@
         /** A caller that was refused finds other load after this time. */
         val PAUSE = 300.milliseconds
 
-        /** Long enough to reach the store or to be taken out of rotation. */
-        val UNREADY_PAUSE = 1.seconds
+        /** Callers come back on a new connection, which reaches a host that may serve them. */
+        val UNREADY_PAUSE = 200.milliseconds
     }
 }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/GracefulShutdown.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/GracefulShutdown.kt
@@ -56,13 +56,19 @@
     }
 
     /**
-     * Runs [call], which the shutdown waits for.
+     * Runs [call], which the shutdown waits for. [longest] is the time that it takes at most, or
+     * null if that is not known.
      *
      * @throws SapphireleverException with [ErrorCode.STOPPING]; then [call] was not started
      */
-    public suspend fun <T> admit(label: String, call: suspend () -> T): T {
+    public suspend fun <T> admit(
+        label: String,
+        longest: Duration? = null,
+        call: suspend () -> T
+    ): T {
         val number = calls.incrementAndGet()
-        val admitted = state.decide { it.on(ShutdownEvent.CallArrived(number, label), clock.now()) }
+        val arrival = ShutdownEvent.CallArrived(number, label, longest)
+        val admitted = state.decide { it.on(arrival, clock.now()) }
         if (ShutdownAction.Refuse in admitted) throw SapphireleverException(ErrorCode.STOPPING)
         return try {
             call()
