Leave targets alone that have no room; connect in 300 ms

The same pieces were refused for room three times within milliseconds and their requests failed (23 in one second). During a cut of a data centre each call to an unreachable target kept its pieces for 700 ms. Change: a target that refuses for room is left alone for 300 ms and the pieces wait; a connection is given up after 300 ms.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -4,6 +4,7 @@
  */
 package org.sapphirelever.decisions.forwarding
 
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 import kotlinx.collections.immutable.PersistentList
@@ -77,14 +78,20 @@
  * @property bytes size of the results that targets keep or are making, by target
  * @property made calls that ended lately
  * @property waitingSince time since which pieces have been waiting without a break
+ * @property fullUntil targets that had no room although this queue counted some, and until when
+ *   they are left alone. They keep results that another host had made before.
  */
 public data class PieceQueue(
     public val waiting: PersistentList<WaitingPiece> = persistentListOf(),
     public val calls: PersistentMap<TargetId, Int> = persistentMapOf(),
     public val bytes: PersistentMap<TargetId, Long> = persistentMapOf(),
     public val made: PersistentList<MadePieces> = persistentListOf(),
-    public val waitingSince: MonotonicTime? = null
+    public val waitingSince: MonotonicTime? = null,
+    public val fullUntil: PersistentMap<TargetId, MonotonicTime> = persistentMapOf()
 ) {
+    internal fun isFull(target: TargetId, now: MonotonicTime): Boolean =
+        fullUntil[target]?.let { now < it } == true
+
     /** Pieces made in a millisecond, or null if targets were not busy long enough to tell. */
     internal fun recentRate(now: MonotonicTime): Double? {
         val since = waitingSince ?: return null
@@ -115,6 +122,10 @@
     return copy(bytes = if (left > 0) bytes.put(target, left) else bytes.remove(target))
 }
 
+/** Notes that [target] had no room for a result that was to fit. */
+public fun PieceQueue.full(target: TargetId, now: MonotonicTime): PieceQueue =
+    copy(fullUntil = fullUntil.put(target, now + FULL_PAUSE))
+
 /** What a call to [target] left: [count] pieces, [unmade] bytes less than was expected. */
 public data class EndedCall(
     public val target: TargetId,
@@ -168,7 +179,10 @@
 /** The next call: to the target that suits the first waiting piece that has room somewhere. */
 private fun PieceQueue.nextCall(context: PieceContext): StageCall? {
     val usable = context.candidates.soundOrAll(context.views, context.now)
-    val free = usable.filter { (calls[it.id] ?: 0) < context.limits.slots }
+    val free =
+        usable.filter {
+            (calls[it.id] ?: 0) < context.limits.slots && !isFull(it.id, context.now)
+        }
     return free
         .mapNotNull { target -> callTo(target, context)?.let { target to it } }
         .minByOrNull { (target, pieces) -> expectedCalls(target, pieces, context) }
@@ -249,6 +263,9 @@
     return ahead + distance + preference
 }
 
+/** About the time of a call, in which a target gives up some of the results that it keeps. */
+public val FULL_PAUSE: Duration = 300.milliseconds
+
 /** Period over which the rate of made pieces is measured; a few calls long. */
 private val RATE_WINDOW = 1_000.milliseconds
 
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
@@ -81,6 +81,20 @@
                 PieceQueue(bytes = persistentMapOf(TargetId("a") to 600)),
                 emptyMap()
             ),
+            Case(
+                "a target that refused for want of room is left alone for a while",
+                listOf(piece(1)),
+                context(two),
+                PieceQueue().full(TargetId("a"), at(0)),
+                mapOf("b" to listOf(1))
+            ),
+            Case(
+                "it is asked again afterwards",
+                listOf(piece(1)),
+                context(one, now = at(400)),
+                PieceQueue().full(TargetId("a"), at(0)),
+                mapOf("a" to listOf(1))
+            ),
             Case(
                 "small results pass a large one that has no room",
                 listOf(piece(1, bytes = 500), piece(2, bytes = 10)),
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
@@ -105,6 +105,9 @@
     /** An input no longer exists. */
     public data object InputGone : PieceResult
 
+    /** The target had no room for the result; it did no work. */
+    public data object NoRoom : PieceResult
+
     /** The piece may be tried again; [sent] tells whether a call reached the target. */
     public data class Failed(public val reason: String, public val sent: Boolean = true) :
         PieceResult
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
@@ -17,6 +17,7 @@
 import org.sapphirelever.core.forwarding.BatchLimits
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.EndedCall
+import org.sapphirelever.decisions.forwarding.FULL_PAUSE
 import org.sapphirelever.decisions.forwarding.PieceContext
 import org.sapphirelever.decisions.forwarding.PieceQueue
 import org.sapphirelever.decisions.forwarding.ServiceOutlook
@@ -25,6 +26,7 @@
 import org.sapphirelever.decisions.forwarding.add
 import org.sapphirelever.decisions.forwarding.callDuration
 import org.sapphirelever.decisions.forwarding.ended
+import org.sapphirelever.decisions.forwarding.full
 import org.sapphirelever.decisions.forwarding.outlook
 import org.sapphirelever.decisions.forwarding.released
 import org.sapphirelever.decisions.forwarding.remove
@@ -191,6 +193,7 @@
             val took = state.clock.now() - now
             if (took > usual * SLOW_FACTOR) state.slowed(target.id)
             val results = results(end, pieces.size)
+            if (PieceResult.NoRoom in results) leaveAlone(target, limits)
             logEvent("stage-call") {
                 "service" to service
                 "target" to target.id
@@ -243,6 +246,8 @@
 
                 is PieceResult.InputGone -> fail(piece, "input gone")
 
+                is PieceResult.NoRoom -> wait(piece, limits)
+
                 is PieceResult.Failed ->
                     retry(piece, target.id, result.reason, result.sent, limits)
             }
@@ -266,6 +271,23 @@
             return made
         }
 
+        /** Starts no call to [target], which is full, for a while. */
+        private fun leaveAlone(target: TargetRecord, limits: BatchLimits) {
+            queue.update { it.full(target.id, state.clock.now()) }
+            scope.launch {
+                delay(FULL_PAUSE)
+                queue.decide { it.start(context(limits)) }.forEach { start(it, limits) }
+            }
+        }
+
+        /** Puts [piece] back among those that wait. */
+        private fun wait(piece: Pending, limits: BatchLimits) {
+            if (piece.result.isCompleted) return
+            if (!state.takeExtraCall(service)) return fail(piece, "room")
+            val waiting = piece.waiting.copy(number = numbers.incrementAndGet())
+            submit(listOf(Pending(piece.order, waiting, piece.tries, piece.result)), limits)
+        }
+
         private fun retry(
             piece: Pending,
             failed: TargetId,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetPool.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetPool.kt
@@ -86,8 +86,11 @@
     }
 
     private companion object {
-        /** Longer than several lost packets of a handshake inside a region. */
-        val CONNECT_LIMIT = 700.milliseconds
+        /**
+         * Many times a handshake inside a region. A lost packet of one is sent again only after
+         * 1 s, so that a longer wait gains nothing.
+         */
+        val CONNECT_LIMIT = 300.milliseconds
 
         /** Kept when the target does not tell its limit. */
         val DEFAULT_IDLE = 4.seconds
