Let pieces with large inputs wait for a target near them

Change: a piece whose inputs exceed 100 kB leaves a free target elsewhere alone for 180 ms, if its request has time.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -31,6 +31,7 @@
  * @property bytes approximate size of the result
  * @property origin data centre of the request, where the result is probably fetched
  * @property inputs size of the results that it takes, by the data centre that keeps them
+ * @property nearUntil moment until which it waits for a target in the data centre of its inputs
  */
 public data class WaitingPiece(
     public val number: Long,
@@ -41,8 +42,17 @@
     public val excluded: TargetId? = null,
     public val bytes: Long = 0,
     public val origin: DataCentre? = null,
-    public val inputs: PersistentMap<DataCentre, Long> = persistentMapOf()
+    public val inputs: PersistentMap<DataCentre, Long> = persistentMapOf(),
+    public val nearUntil: MonotonicTime? = null
 ) {
+    /** Whether most of the bytes that it takes are in another place than [dataCentre]. */
+    internal fun isFar(dataCentre: DataCentre): Boolean =
+        (inputs[dataCentre] ?: 0) * 2 < inputs.values.sum()
+
+    /** Whether it leaves a free target in [dataCentre] to others at [now]. */
+    internal fun waitsForNear(dataCentre: DataCentre, now: MonotonicTime): Boolean =
+        nearUntil != null && now < nearUntil && isFar(dataCentre)
+
     /** Bytes that cross between data centres if the piece is made in [dataCentre]. */
     internal fun crossing(dataCentre: DataCentre): Long {
         val fetched = inputs.entries.sumOf { if (it.key == dataCentre) 0 else it.value }
@@ -205,6 +215,7 @@
     val requests =
         inOrder(target.dataCentre)
             .filter { it.excluded != target.id || alone }
+            .filterNot { it.waitsForNear(target.dataCentre, context.now) }
             .groupBy { it.request }
             .values
     for (pieces in requests) {
@@ -263,6 +274,22 @@
     return ahead + distance + preference
 }
 
+/**
+ * Time that a piece of an urgent request may wait for a target near its inputs: all pieces of a
+ * request fetch the same inputs, so that bytes between data centres cost more than the delay.
+ */
+public val NEAR_PATIENCE: Duration = 180.milliseconds
+
+/** Time that the rest of a request takes after a piece has started, about. */
+private val REST_TIME = 700.milliseconds
+
+/** The moment until which a piece that arrives at [now] waits for a near target, if it may. */
+public fun nearUntil(inputBytes: Long, aim: MonotonicTime, now: MonotonicTime): MonotonicTime? =
+    (now + NEAR_PATIENCE).takeIf { inputBytes > LEAST_INPUTS && now + REST_TIME < aim }
+
+/** Inputs below this size are fetched from anywhere. */
+private const val LEAST_INPUTS = 100_000L
+
 /** About the time of a call, in which a target gives up some of the results that it keeps. */
 public val FULL_PAUSE: Duration = 300.milliseconds
 
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
@@ -12,6 +12,8 @@
 import org.sapphirelever.core.forwarding.TargetRecord
 
 class PieceQueueTest {
+    private val megabyte = 1_000_000L
+
     private fun piece(
         number: Long,
         rank: Int = 1,
@@ -33,6 +35,31 @@
         inputs = inputs.entries.fold(persistentMapOf()) { all, (key, value) -> all.put(key, value) }
     )
 
+    private fun far(number: Long): WaitingPiece =
+        piece(number, inputs = mapOf(TARNOW to megabyte)).copy(nearUntil = at(150))
+
+    private data class PatienceCase(
+        val name: String,
+        val inputBytes: Long,
+        val aim: Long,
+        val until: MonotonicTime?
+    )
+
+    /** Guards against delays of requests that are short of time, or that have little to fetch. */
+    private val patience =
+        listOf(
+            PatienceCase("large inputs, time left", megabyte, 2_000, at(0) + NEAR_PATIENCE),
+            PatienceCase("large inputs, little time left", megabyte, 600, null),
+            PatienceCase("small inputs", 1_000, 2_000, null)
+        )
+
+    @Test
+    fun `pieces wait for a near target only if that is worth it`() {
+        patience.forEach { case ->
+            assertEquals(case.until, nearUntil(case.inputBytes, at(case.aim), at(0)), case.name)
+        }
+    }
+
     private fun context(
         targets: List<TargetRecord>,
         views: Map<TargetId, TargetView> = emptyMap(),
@@ -50,7 +77,6 @@
 
     private val one = listOf(target("a"))
     private val two = listOf(target("a"), target("b", TARNOW))
-    private val megabyte = 1_000_000L
 
     /** Guards against small batches, calls beyond slots or room, and pieces out of their order. */
     private val cases =
@@ -147,6 +173,24 @@
                 context(two),
                 expected = mapOf("b" to listOf(1))
             ),
+            Case(
+                "a piece leaves a far target alone while it may wait for a near one",
+                listOf(far(1)),
+                context(one),
+                expected = emptyMap()
+            ),
+            Case(
+                "it takes the far one afterwards",
+                listOf(far(1)),
+                context(one, now = at(200)),
+                expected = mapOf("a" to listOf(1))
+            ),
+            Case(
+                "it takes a near one at once",
+                listOf(far(1)),
+                context(two),
+                expected = mapOf("b" to listOf(1))
+            ),
             Case("no target", listOf(piece(1)), context(emptyList()), expected = emptyMap())
         )
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
@@ -5,6 +5,7 @@
 
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -18,6 +19,7 @@
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.EndedCall
 import org.sapphirelever.decisions.forwarding.FULL_PAUSE
+import org.sapphirelever.decisions.forwarding.NEAR_PATIENCE
 import org.sapphirelever.decisions.forwarding.PieceContext
 import org.sapphirelever.decisions.forwarding.PieceQueue
 import org.sapphirelever.decisions.forwarding.ServiceOutlook
@@ -27,6 +29,7 @@
 import org.sapphirelever.decisions.forwarding.callDuration
 import org.sapphirelever.decisions.forwarding.ended
 import org.sapphirelever.decisions.forwarding.full
+import org.sapphirelever.decisions.forwarding.nearUntil
 import org.sapphirelever.decisions.forwarding.outlook
 import org.sapphirelever.decisions.forwarding.released
 import org.sapphirelever.decisions.forwarding.remove
@@ -94,6 +97,7 @@
                 }
             try {
                 submit(pieces, limits)
+                if (pieces.any { it.waiting.nearUntil != null }) startAfter(NEAR_PATIENCE, limits)
                 return withTimeoutOrNull(batch.due - state.clock.now()) {
                     pieces.map { it.result }.awaitAll()
                 } ?: throw StageFailedException("$service: late")
@@ -149,7 +153,8 @@
             aim = aim,
             bytes = resultBytes,
             origin = origin,
-            inputs = inputs
+            inputs = inputs,
+            nearUntil = nearUntil(inputs.values.sum(), aim, state.clock.now())
         )
 
         private fun submit(pieces: List<Pending>, limits: BatchLimits) {
@@ -274,8 +279,13 @@
         /** Starts no call to [target], which is full, for a while. */
         private fun leaveAlone(target: TargetRecord, limits: BatchLimits) {
             queue.update { it.full(target.id, state.clock.now()) }
+            startAfter(FULL_PAUSE, limits)
+        }
+
+        /** Starts what may be started after [pause]. */
+        private fun startAfter(pause: Duration, limits: BatchLimits) {
             scope.launch {
-                delay(FULL_PAUSE)
+                delay(pause)
                 queue.decide { it.start(context(limits)) }.forEach { start(it, limits) }
             }
         }
