Prefer the engine that has read the shared parts of a prompt

Change: shared tokens that an engine has probably not cached weigh five times their reading time. What a host remembers of an engine's cache is bounded.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
@@ -10,6 +10,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
@@ -68,6 +69,23 @@
     }
 }
 
+/** Notes that the engine has read [parts] of a prompt. */
+public fun TargetView.read(parts: List<PromptPart>, now: MonotonicTime): TargetView {
+    val kept =
+        if (cached.size < CACHED_PARTS) {
+            cached
+        } else {
+            cached.filterValues { now - it < CACHE_MEMORY }.toPersistentMap()
+        }
+    return copy(cached = parts.fold(kept) { all, part -> all.put(part.id, now) })
+}
+
+/** Parts of one engine that a host remembers before it drops old ones. */
+internal const val CACHED_PARTS: Int = 1_000
+
+/** An engine drops the parts used least lately; one not used for so long is probably gone. */
+private val CACHE_MEMORY = 60.seconds
+
 /** Size of stage results by the data centre that keeps them. */
 public typealias ResultBytes = Map<DataCentre, Long>
 
@@ -110,19 +128,21 @@
     val slowness = (report?.slownessPercent ?: USUAL_PERCENT).toDouble() / USUAL_PERCENT
     val others = ((report?.running ?: 0) - view.outstanding).coerceAtLeast(0)
     val waiting = report?.waiting ?: 0
-    val toRead = unreadTokens(view, prompt, isHome) + view.unreadTokens
+    val toRead = prompt.ownTokens + view.unreadTokens + unreadShared(view, prompt, isHome)
     val reading = toRead / PREFILL_TOKENS_PER_MILLI
     return slowness * (reading + (view.outstanding + others) * RUNNING_MILLIS) +
         waiting * WAITING_MILLIS
 }
 
-/** Tokens of [prompt] that the engine has probably not cached. */
-private fun unreadTokens(view: TargetView, prompt: PromptShape, isHome: Boolean): Double {
+/**
+ * Shared tokens of [prompt] that the engine has probably not cached, with their weight: reading
+ * them there delays its other requests and takes the place of other parts in its cache.
+ */
+private fun unreadShared(view: TargetView, prompt: PromptShape, isHome: Boolean): Double {
     val known = prompt.shared.takeWhile { it.id in view.cached }.sumOf { it.tokens }
     val shared = prompt.shared.sumOf { it.tokens }
     // Other hosts send the same part to the same engine, so its home has probably read it.
-    val rest = (shared - known) * (if (isHome) UNSEEN_AT_HOME else 1.0)
-    return rest + prompt.ownTokens
+    return (shared - known) * REREAD_WEIGHT * (if (isHome) UNSEEN_AT_HOME else 1.0)
 }
 
 /** Prompt tokens that an engine reads in a millisecond, about, when nothing else runs. */
@@ -142,7 +162,10 @@
 internal const val BYTES_PER_MEGABYTE = 1_000_000.0
 
 /** Share of a part's tokens that are counted as unread at its home without own knowledge. */
-private const val UNSEEN_AT_HOME = 0.4
+private const val UNSEEN_AT_HOME = 0.2
+
+/** Weight of a shared token that is read again against one that has to be read anyway. */
+private const val REREAD_WEIGHT = 5.0
 
 private const val USUAL_PERCENT = 100
 
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/EngineChoiceTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/EngineChoiceTest.kt
@@ -50,6 +50,13 @@
                 shared,
                 expected = "far"
             ),
+            Case(
+                "a cached prompt is worth results that cross",
+                mapOf(TargetId("far") to TargetView(cached = persistentMapOf("p" to late))),
+                shared,
+                mapOf(KRAKOW to 4_000_000L),
+                "far"
+            ),
             Case("results draw", results = mapOf(TARNOW to 2_000_000L), expected = "far"),
             Case(
                 "a suspect engine",
@@ -67,6 +74,17 @@
         }
     }
 
+    /** Guards against memory that grows with each prompt part ever seen. */
+    @Test
+    fun `parts that were read long ago are forgotten`() {
+        val old = (1..CACHED_PARTS).fold(TargetView()) { view, number ->
+            view.read(listOf(PromptPart("old-$number", 1)), at(0))
+        }
+        assertEquals(CACHED_PARTS, old.cached.size)
+        assertEquals(setOf("p"), old.read(shared.shared, at(100_000)).cached.keys)
+        assertEquals(CACHED_PARTS + 1, old.read(shared.shared, at(1_000)).cached.size)
+    }
+
     @Test
     fun `a suspect engine is better than none`() {
         val views = mapOf(near to TargetView(failures = 1, failedAt = late))
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -21,6 +21,7 @@
 import org.sapphirelever.decisions.forwarding.chooseEngine
 import org.sapphirelever.decisions.forwarding.expectedFirstToken
 import org.sapphirelever.decisions.forwarding.greatestBeliefAge
+import org.sapphirelever.decisions.forwarding.read
 import org.sapphirelever.decisions.keys.Fingerprint
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.transport.BodyReader
@@ -370,8 +371,7 @@
             val now = state.clock.now()
             val parts = request.prompt?.shared ?: persistentListOf()
             state.view(target.id) { view ->
-                val cached = parts.fold(view.cached) { cached, part -> cached.put(part.id, now) }
-                view.copy(unreadTokens = view.unreadTokens - unread, cached = cached)
+                view.copy(unreadTokens = view.unreadTokens - unread).read(parts, now)
             }
         }
 
