Use results of 2 MB in the case of a cached prompt

The target in the case is also the home of the prompt part, so that 4 MB of results outweighed the cached part. The case fails without the weight of shared tokens.

--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/EngineChoiceTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/EngineChoiceTest.kt
@@ -54,7 +54,7 @@
                 "a cached prompt is worth results that cross",
                 mapOf(TargetId("far") to TargetView(cached = persistentMapOf("p" to late))),
                 shared,
-                mapOf(KRAKOW to 4_000_000L),
+                mapOf(KRAKOW to 2_000_000L),
                 "far"
             ),
             Case("results draw", results = mapOf(TARNOW to 2_000_000L), expected = "far"),
