Take over changed bounds while a host runs

Cause: a settings file changed without a signal was not noticed, and SIGHUP only logged the change. The test of HTTP connections is bounded in time, so that the run that once did not end would show where it waits.

--- a/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
@@ -4,7 +4,6 @@
 package org.sapphirelever.cli
 
 import org.sapphirelever.core.ExitCode
-import org.sapphirelever.core.SapphireleverException
 import org.sapphirelever.core.settings.PortType
 import org.sapphirelever.core.settings.SettingGroup
 import org.sapphirelever.core.settings.SwitchType
@@ -16,9 +15,9 @@
 import org.sapphirelever.platform.StoreClient
 import org.sapphirelever.platform.readHostFile
 import org.sapphirelever.runtime.forward.ForwardingHost
+import org.sapphirelever.runtime.forward.ProfileSource
 import org.sapphirelever.runtime.host.onReloadSignal
 import org.sapphirelever.runtime.host.onStopSignal
-import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.transport.Sockets
 
 /** Runs a forwarding host until a signal stops it. */
@@ -55,32 +54,24 @@
             +checkOnly
         }
 
-    private fun reload(host: ForwardingHost, invocation: Invocation) {
-        try {
-            host.reload(
-                readHostFile(invocation.values[file], invocation.values[metricsPort].toInt())
-            )
-        } catch (invalid: SapphireleverException) {
-            logWarning("settings-not-reloaded") { "findings" to invalid.findings.joinToString() }
-        }
-    }
-
     override fun prepare() {
         preloadClasses(ForwardingHost::class.java, SERVING_PACKAGES)
     }
 
     override suspend fun run(invocation: Invocation): ExitCode {
-        val profile =
-            readHostFile(invocation.values[file], invocation.values[metricsPort].toInt())
+        val path = invocation.values[file]
+        val metrics = invocation.values[metricsPort].toInt()
+        val source = ProfileSource { readHostFile(path, metrics) }
+        val profile = source.read()
         if (invocation.values[checkOnly]) {
             invocation.output.println("settings are valid")
             return ExitCode.SUCCESS
         }
         return Sockets().use { sockets ->
             val store = StoreClient(profile.store, sockets)
-            val host = ForwardingHost(profile, PlatformProtocol, store, sockets)
+            val host = ForwardingHost(source, PlatformProtocol, store, sockets)
             onStopSignal(host::signal)
-            onReloadSignal { reload(host, invocation) }
+            onReloadSignal(host::reload)
             host.run()
         }
     }
--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
@@ -37,4 +37,13 @@
     public val retryExtra: Int,
     public val retryWindow: Duration,
     public val leaseFloor: Duration
-)
+) {
+    /** This profile with the bounds of [other] that can change while the host runs. */
+    public fun withBoundsOf(other: HostProfile): HostProfile = copy(
+        revocationLimit = other.revocationLimit,
+        retryRatio = other.retryRatio,
+        retryExtra = other.retryExtra,
+        retryWindow = other.retryWindow,
+        leaseFloor = other.leaseFloor
+    )
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -3,6 +3,7 @@
  */
 package org.sapphirelever.runtime.forward
 
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -21,7 +22,6 @@
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.SystemMonotonicClock
-import org.sapphirelever.core.forwarding.HostProfile
 import org.sapphirelever.decisions.forwarding.expectedSharers
 import org.sapphirelever.decisions.forwarding.greatestBeliefAge
 import org.sapphirelever.decisions.supervision.RestartPolicy
@@ -38,15 +38,17 @@
 import org.sapphirelever.runtime.transport.ResponseHead
 import org.sapphirelever.runtime.transport.Sockets
 
-/** Forwards requests under [profile]; messages are those of [protocol]. */
+/** Forwards requests under the settings of [source]; messages are those of [protocol]. */
 public class ForwardingHost(
-    private val profile: HostProfile,
+    source: ProfileSource,
     private val protocol: ForwardProtocol,
     private val store: ForwardingStore,
     private val sockets: Sockets,
     private val clock: MonotonicClock = SystemMonotonicClock
 ) {
+    private val profile = source.read()
     private val state = ForwardingState(profile, clock)
+    private val settings = SettingsWatch(source, state)
     private val feed = StoreFeed(store, state)
     private val shutdown =
         GracefulShutdown(
@@ -58,7 +60,8 @@
     private val metrics = ForwardingMetrics(state)
 
     /** A host that refuses keys must not be sent callers. */
-    private val readyAge = minOf(READY_AGE, greatestBeliefAge(profile.revocationLimit))
+    private val readyAge: Duration
+        get() = minOf(READY_AGE, greatestBeliefAge(state.profile.revocationLimit))
 
     /** Begins a graceful stop. */
     public fun signal() {
@@ -66,9 +69,9 @@
         shutdown.signal()
     }
 
-    /** Notes that the settings may have changed; they take effect at the next start. */
-    public fun reload(changed: HostProfile) {
-        logEvent("settings-reloaded") { "changed" to (changed != profile) }
+    /** Reads the settings again. */
+    public fun reload() {
+        settings.reload()
     }
 
     /** Runs until a signal stops the host or its supervisor gives up. */
@@ -101,6 +104,7 @@
             child("feed") { feed.follow() }
             child("announcement") { feed.announce() }
         }
+        child("settings") { settings.follow() }
         child("callers") { callers() }
         child("readiness") { serveText(profile.readiness) { readiness() to ByteArray(0) } }
         child("metrics") { serveText(profile.metrics) { OK to metrics.scrape() } }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -25,8 +25,12 @@
 import org.sapphirelever.decisions.suspicion.SuspicionState
 import org.sapphirelever.runtime.StateCell
 
-/** Shared state of the forwarding front end of the host with [profile]. */
-public class ForwardingState(public val profile: HostProfile, public val clock: MonotonicClock) {
+/** Shared state of the forwarding front end of a host that starts with [initial]. */
+public class ForwardingState(initial: HostProfile, public val clock: MonotonicClock) {
+    @Volatile
+    public var profile: HostProfile = initial
+        private set
+
     public val belief: StateCell<ConfigurationBelief> = StateCell(ConfigurationBelief())
     public val directory: StateCell<TargetDirectory> = StateCell(TargetDirectory())
 
@@ -37,15 +41,17 @@
     private val views: StateCell<PersistentMap<TargetId, TargetView>> =
         StateCell(persistentMapOf())
     private val budget: StateCell<SharedRetryBudget> =
-        StateCell(
-            SharedRetryBudget(
-                RetryBounds(profile.retryRatio, profile.retryExtra, profile.retryWindow)
-            )
-        )
+        StateCell(SharedRetryBudget(profile.retryBounds()))
 
     /** What this host knows of each target. */
     public val targetViews: PersistentMap<TargetId, TargetView> get() = views.value
 
+    /** Takes over the bounds of [changed]; the rest of it holds from the next start. */
+    public fun reload(changed: HostProfile) {
+        profile = profile.withBoundsOf(changed)
+        budget.update { it.copy(bounds = profile.retryBounds()) }
+    }
+
     public fun moment(): Moment = Moment(clock.now(), System.currentTimeMillis())
 
     public fun usable(service: ServiceName): List<TargetRecord> =
@@ -100,3 +106,6 @@
         return taken.isNotEmpty()
     }
 }
+
+private fun HostProfile.retryBounds(): RetryBounds =
+    RetryBounds(retryRatio, retryExtra, retryWindow)
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/transport/HttpConnectionTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/transport/HttpConnectionTest.kt
@@ -10,6 +10,7 @@
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.sapphirelever.core.Endpoint
 
 class HttpConnectionTest {
@@ -67,7 +68,8 @@
     private fun received(case: Case): String? =
         ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { server ->
             val sender = thread { send(server, case) }
-            val body = runBlocking { receive(Endpoint("127.0.0.1", server.localPort)) }
+            val endpoint = Endpoint("127.0.0.1", server.localPort)
+            val body = runBlocking { withTimeout(TEST_LIMIT) { receive(endpoint) } }
             sender.join()
             body
         }
@@ -98,6 +100,9 @@
     private companion object {
         const val LIMIT = 1_000
 
+        /** Bounds a test that would otherwise wait for ever; it measures nothing. */
+        val TEST_LIMIT = 30.seconds
+
         /** Lets the bytes arrive before the reset, which would otherwise discard them. */
         const val RESET_DELAY_MILLIS = 100L
     }
