--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -169,7 +169,8 @@
 
         private suspend fun runStages() {
             val aim = arrived + route.objective
-            results = stages.run(request, route.stages, StageTerms(granted.rank, stageDue(aim), aim))
+            results =
+                stages.run(request, route.stages, StageTerms(granted.rank, stageDue(aim), aim))
         }
 
         /**
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/SettingsWatch.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/SettingsWatch.kt
@@ -18,10 +18,7 @@
 }
 
 /** Keeps the bounds in [state] as [source] has them. */
-public class SettingsWatch(
-    private val source: ProfileSource,
-    private val state: ForwardingState
-) {
+public class SettingsWatch(private val source: ProfileSource, private val state: ForwardingState) {
     private val signals = Channel<Unit>(Channel.CONFLATED)
     private var last = state.profile
 
@@ -37,7 +34,9 @@
             try {
                 adopt(source.read(), signalled)
             } catch (invalid: SapphireleverException) {
-                logWarning("settings-not-reloaded") { "findings" to invalid.findings.joinToString() }
+                logWarning("settings-not-reloaded") {
+                    "findings" to invalid.findings.joinToString()
+                }
             }
         }
     }
