Assign stage work to hosts with enough processor and network; try slow targets with little work

A target that was slow gets the pieces of one request at a time until a call takes its usual time. Waiting pieces are sorted once for each data centre and decision.

--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
@@ -22,6 +22,7 @@
  * @property retryExtra extra calls that all hosts may make in a window besides
  * @property retryWindow window of the retry bounds
  * @property leaseFloor shortest lease that the store grants
+ * @property capacityPercent size of this host against one that can make all calls of a service
  */
 public data class HostProfile(
     public val host: HostId,
@@ -36,8 +37,12 @@
     public val retryRatio: Double,
     public val retryExtra: Int,
     public val retryWindow: Duration,
-    public val leaseFloor: Duration
+    public val leaseFloor: Duration,
+    public val capacityPercent: Int
 ) {
+    /** What this host tells others about itself. */
+    public val announcement: HostAnnouncement get() = HostAnnouncement(peers, capacityPercent)
+
     /** This profile with the bounds of [other] that can change while the host runs. */
     public fun withBoundsOf(other: HostProfile): HostProfile = copy(
         revocationLimit = other.revocationLimit,
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
@@ -64,6 +64,10 @@
         return now - since < FAILURE_MEMORY * failures.coerceAtMost(MAXIMUM_FAILURES)
     }
 
+    /** Whether a target that was slow is to show with little work that it no longer is. */
+    public fun isOnTrial(now: MonotonicTime): Boolean =
+        slowedAt != null && now - slowedAt < TRIAL_MEMORY
+
     private companion object {
         const val MAXIMUM_FAILURES = 4
     }
@@ -172,5 +176,8 @@
 /** Period over which a target's failures count against it. */
 internal val FAILURE_MEMORY: Duration = 2.seconds
 
+/** Period after a slow call in which a target gets little work. */
+private val TRIAL_MEMORY: Duration = 6.seconds
+
 /** Age after which a report says nothing about the load of a target. */
 private val REPORT_LIFETIME: Duration = FAILURE_MEMORY
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -193,8 +193,11 @@
         usable.filter {
             (calls[it.id] ?: 0) < context.limits.slots && !isFull(it.id, context.now)
         }
+    val orders = free.map { it.dataCentre }.distinct().associateWith { inOrder(it) }
     return free
-        .mapNotNull { target -> callTo(target, context)?.let { target to it } }
+        .mapNotNull { target ->
+            callTo(target, orders.getValue(target.dataCentre), context)?.let { target to it }
+        }
         .minByOrNull { (target, pieces) -> expectedCalls(target, pieces, context) }
         ?.let { (target, pieces) ->
             val numbers = pieces.map { it.number }.toPersistentList()
@@ -206,14 +209,19 @@
  * The pieces of a call to [target]: the first ones that it has room for. The pieces of a request
  * stay together, since the next stage takes all of them and those made first would only take room.
  */
-private fun PieceQueue.callTo(target: TargetRecord, context: PieceContext): List<WaitingPiece>? {
+private fun PieceQueue.callTo(
+    target: TargetRecord,
+    ordered: List<WaitingPiece>,
+    context: PieceContext
+): List<WaitingPiece>? {
     val share = context.limits.roomBytes / context.hosts.coerceAtLeast(1) * ROOM_IN_USE
     var room = share - (bytes[target.id] ?: 0)
     val unused = (bytes[target.id] ?: 0) == 0L
     val alone = context.candidates.size == 1
+    val onTrial = context.views[target.id]?.isOnTrial(context.now) == true
     val taken = mutableListOf<WaitingPiece>()
     val requests =
-        inOrder(target.dataCentre)
+        ordered
             .filter { it.excluded != target.id || alone }
             .filterNot { it.waitsForNear(target.dataCentre, context.now) }
             .groupBy { it.request }
@@ -227,7 +235,7 @@
             taken += fitting
         }
         room = share - (bytes[target.id] ?: 0) - taken.sumOf { it.bytes }
-        if (taken.size >= context.limits.batch) break
+        if (taken.size >= context.limits.batch || (onTrial && taken.isNotEmpty())) break
     }
     return taken.ifEmpty { null }
 }
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PieceQueueTest.kt
@@ -167,6 +167,12 @@
                 ),
                 expected = mapOf("b" to listOf(1))
             ),
+            Case(
+                "a target that was slow gets the pieces of one request",
+                listOf(piece(1), piece(2)),
+                context(one, mapOf(TargetId("a") to TargetView(slowedAt = at(0))), now = at(3_000)),
+                expected = mapOf("a" to listOf(1))
+            ),
             Case(
                 "a piece is made where its inputs are",
                 listOf(piece(1, origin = TARNOW, inputs = mapOf(TARNOW to 3 * megabyte))),
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -141,7 +141,7 @@
     }
 
     private fun sharers(service: ServiceName): Int =
-        expectedSharers(service, state.hosts.value.keys, profile.host)
+        expectedSharers(service, state.hosts.value, profile.host)
 
     private fun readiness(): Int {
         val belief = state.belief.value
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -6,11 +6,11 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
-import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.HostAnnouncement
 import org.sapphirelever.core.forwarding.HostProfile
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.Decision
@@ -34,9 +34,9 @@
     public val belief: StateCell<ConfigurationBelief> = StateCell(ConfigurationBelief())
     public val directory: StateCell<TargetDirectory> = StateCell(TargetDirectory())
 
-    /** Hosts that take callers' requests, with the address for other hosts. */
-    public val hosts: StateCell<PersistentMap<HostId, Endpoint>> =
-        StateCell(persistentMapOf(profile.host to profile.peers))
+    /** Hosts that take callers' requests and work for each other. */
+    public val hosts: StateCell<PersistentMap<HostId, HostAnnouncement>> =
+        StateCell(persistentMapOf(profile.host to profile.announcement))
     public val suspicion: StateCell<SuspicionState> = StateCell(SuspicionState())
     private val views: StateCell<PersistentMap<TargetId, TargetView>> =
         StateCell(persistentMapOf())
@@ -73,6 +73,12 @@
         view(target) { it.copy(report = report) }
     }
 
+    /** Notes that a call to [target] took about as long as its work. */
+    public fun recovered(target: TargetId) {
+        if (targetViews[target]?.slowedAt == null) return
+        view(target) { it.copy(slowedAt = null) }
+    }
+
     public fun succeeded(target: TargetId) {
         if (targetViews[target]?.failedAt == null) return
         view(target) { it.copy(failures = 0, failedAt = null) }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -5,10 +5,10 @@
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
-import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.ForwardingConfiguration
+import org.sapphirelever.core.forwarding.HostAnnouncement
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.suspicion.CrashMark
 
@@ -21,7 +21,8 @@
     public data class TargetGone(public val target: TargetId) : StoreFact
 
     /** A host and its address for other hosts. */
-    public data class Host(public val host: HostId, public val peers: Endpoint) : StoreFact
+    public data class Host(public val host: HostId, public val announcement: HostAnnouncement) :
+        StoreFact
 
     public data class HostGone(public val host: HostId) : StoreFact
 
@@ -58,7 +59,11 @@
     public suspend fun changes(revision: Long): StoreFacts?
 
     /** Announces [host] until the lease ends. */
-    public suspend fun announce(host: HostId, peers: Endpoint, lifetime: Duration): StoreLease
+    public suspend fun announce(
+        host: HostId,
+        announcement: HostAnnouncement,
+        lifetime: Duration
+    ): StoreLease
 
     /** Renews [lease]; false if it has ended. */
     public suspend fun renew(lease: StoreLease): Boolean
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieces.kt
@@ -196,8 +196,12 @@
                     response.reply to body
                 }
             val took = state.clock.now() - now
-            if (took > usual * SLOW_FACTOR) state.slowed(target.id)
             val results = results(end, pieces.size)
+            if (took > usual * SLOW_FACTOR) {
+                state.slowed(target.id)
+            } else if (results.any { it is PieceResult.Made }) {
+                state.recovered(target.id)
+            }
             if (PieceResult.NoRoom in results) leaveAlone(target, limits)
             logEvent("stage-call") {
                 "service" to service
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceLinks.kt
@@ -136,7 +136,7 @@
         private suspend fun connect(): PeerConnection = connecting.withLock {
             connection?.let { return@withLock it }
             val endpoint =
-                state.hosts.value[owner] ?: throw PeerUnavailableException("unknown host")
+                state.hosts.value[owner]?.peers ?: throw PeerUnavailableException("unknown host")
             val opened =
                 try {
                     PeerConnection(sockets.connectSocket(endpoint, CONNECT_LIMIT))
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PooledPieces.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PooledPieces.kt
@@ -54,7 +54,7 @@
 
     /** The hosts to ask for pieces of [service], in order, without those that are avoided. */
     private fun owners(service: ServiceName): List<HostId> =
-        assignmentOrder(service, state.hosts.value.keys)
+        assignmentOrder(service, state.hosts.value)
             .filter { it == state.profile.host || !links.isAvoided(it) }
             .take(MAXIMUM_OWNERS)
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -61,7 +61,7 @@
                     } else {
                         store.announce(
                             state.profile.host,
-                            state.profile.peers,
+                            state.profile.announcement,
                             maxOf(ANNOUNCEMENT_LIFETIME, state.profile.leaseFloor)
                         )
                     }
@@ -118,8 +118,8 @@
             state.directory.update { it.listed(records, now) }
             val hosts = facts.facts.filterIsInstance<StoreFact.Host>()
             state.hosts.update { known ->
-                hosts.fold(known.clear()) { all, fact -> all.put(fact.host, fact.peers) }
-                    .put(state.profile.host, state.profile.peers)
+                hosts.fold(known.clear()) { all, fact -> all.put(fact.host, fact.announcement) }
+                    .put(state.profile.host, state.profile.announcement)
             }
         }
         facts.facts.forEach(::apply)
@@ -133,11 +133,11 @@
 
             is StoreFact.TargetGone -> removeTarget(fact.target, "entry-removed")
 
-            is StoreFact.Host -> state.hosts.update { it.put(fact.host, fact.peers) }
+            is StoreFact.Host -> state.hosts.update { it.put(fact.host, fact.announcement) }
 
             is StoreFact.HostGone ->
                 state.hosts.update { hosts ->
-                    hosts.remove(fact.host).put(state.profile.host, state.profile.peers)
+                    hosts.remove(fact.host).put(state.profile.host, state.profile.announcement)
                 }
 
             is StoreFact.Crash ->
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/SettingsWatchTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/SettingsWatchTest.kt
@@ -33,7 +33,8 @@
         retryRatio = 0.2,
         retryExtra = 60,
         retryWindow = 10.seconds,
-        leaseFloor = 1.seconds
+        leaseFloor = 1.seconds,
+        capacityPercent = 100
     )
 
     private data class Case(
