--- a/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcessTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcessTest.kt
@@ -111,7 +111,7 @@
                 "host-stopped"
             )
 
-        val CONFIGURATION =
+        const val CONFIGURATION =
             """{"version":3,"routes":[{"name":"safe","host":"a.example","prefix":"/safe/",""" +
                 """"kind":"idempotent","timeout-ms":2000,"slo-ms":500,"service":"koder",""" +
                 """"max-attempts":2,"anonymous":true}],"services":[{"name":"koder"}],""" +
