--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -419,6 +419,7 @@
                 "request" to request.id
                 "route" to route.name
                 "target" to target.id
+                "parts" to request.prompt?.shared?.joinToString(",") { it.id }
                 "remaining-ms" to remaining.inWholeMilliseconds
                 "outstanding" to view?.outstanding
                 "unread-tokens" to view?.unreadTokens
