Block prompt parts that crash targets, by evidence that hosts exchange

Callers saw: requests of one kind break off or fail with 502 while engine after engine crashes. Cause: crash marks were kept by the fingerprint of a whole request. Requests that share only a part of their prompt never have the same fingerprint, so no mark reached the second crash. The class of fault: a defence that is keyed by more than the cause. Change: a crash is evidence against all traits of the requests that ran there: the whole request and each shared part of its prompt. Crashes are attributed to the trait that explains most of them; successes clear a trait. Each host publishes its evidence as one record, and requests with a blocked trait are refused at once with 503 before any stage, and cancelled at targets that have not begun to answer. One host at a time, by a claim in the store, tries a blocked trait, ever more rarely. The marks by whole request become a case of this; the record replaces one store entry for each request.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/EngineChoice.kt
@@ -119,6 +119,15 @@
     }
 }
 
+/** The target whose loss would break the fewest requests. */
+public fun leastLoaded(
+    candidates: List<TargetRecord>,
+    views: Map<TargetId, TargetView>
+): TargetRecord? = candidates.minByOrNull { target ->
+    val view = views[target.id] ?: TargetView()
+    maxOf(view.outstanding, view.report?.running ?: 0)
+}
+
 /** The healthy targets of this list, or all of them if none is healthy. */
 internal fun List<TargetRecord>.healthyOrAll(
     views: Map<TargetId, TargetView>,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -113,6 +113,7 @@
         supervisor("store") {
             child("feed") { feed.follow() }
             child("announcement") { feed.announce() }
+            child("crash-reports") { feed.publishCrashes() }
         }
         child("settings") { settings.follow() }
         child("callers") { serveCallers() }
@@ -132,9 +133,9 @@
         val executor =
             RoutingPieceExecutor(localExecutor, PeerPieceClient(workScope, sockets, state), state)
         val stages = StageExecutor(executor, state)
-        val suspicion = CrashSuspicion(workScope, sockets, store, state)
+        val guard = CrashGuard(workScope, sockets, store, state)
         val forwarding =
-            RequestForwarding(protocol, state, calls, stages, executor, suspicion)
+            RequestForwarding(protocol, state, calls, stages, executor, guard)
         val server = PieceServer(localExecutor, state)
         launch {
             sockets.listen(profile.peers).use {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -6,6 +6,10 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.getAndUpdate
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.ServiceName
@@ -22,8 +26,12 @@
 import org.sapphirelever.decisions.forwarding.SharedRetryBudget
 import org.sapphirelever.decisions.forwarding.TargetDirectory
 import org.sapphirelever.decisions.forwarding.TargetView
-import org.sapphirelever.decisions.suspicion.SuspicionState
+import org.sapphirelever.decisions.keys.Fingerprint
+import org.sapphirelever.decisions.suspicion.CrashEvidence
+import org.sapphirelever.decisions.suspicion.TraitBlock
 import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.log.logWarning
 
 /** Shared state of a forwarding host that starts with the settings [initial]. */
 public class ForwardingState(initial: HostProfile, public val clock: MonotonicClock) {
@@ -38,12 +46,23 @@
     /** Known forwarding hosts including this one; any of them can execute pieces for the others. */
     public val hosts: StateCell<PersistentMap<HostId, HostAnnouncement>> =
         StateCell(persistentMapOf(profile.host to profile.announcement))
-    public val suspicion: StateCell<SuspicionState> = StateCell(SuspicionState())
+
+    /** Evidence of this host and of others on which requests crash targets. */
+    private val crashes = StateCell(CrashEvidence())
+    private val mutableBlocks = MutableStateFlow(crashes.value.blocks)
+
+    /** Signals that the crash evidence of this host should be published. */
+    public val crashReportDue: Channel<Unit> = Channel(Channel.CONFLATED)
     private val views: StateCell<PersistentMap<TargetId, TargetView>> =
         StateCell(persistentMapOf())
     private val budget: StateCell<SharedRetryBudget> =
         StateCell(SharedRetryBudget(profile.retryBounds()))
 
+    public val crashEvidence: CrashEvidence get() = crashes.value
+
+    /** Traits whose requests must not be sent to targets. */
+    public val blocks: StateFlow<PersistentMap<Fingerprint, TraitBlock>> get() = mutableBlocks
+
     /** Load and health of each target as observed by this host. */
     public val targetViews: PersistentMap<TargetId, TargetView> get() = views.value
 
@@ -53,6 +72,24 @@
         budget.update { it.copy(bounds = profile.retryBounds()) }
     }
 
+    /** Changes the crash evidence and logs the traits whose block begins or ends. */
+    public fun updateCrashes(change: (CrashEvidence) -> CrashEvidence): CrashEvidence {
+        val changed = crashes.update(change)
+        val before = mutableBlocks.getAndUpdate { changed.blocks }
+        (changed.blocks.keys - before.keys).forEach { trait ->
+            val block = changed.blocks.getValue(trait)
+            logWarning("trait-blocked") {
+                "trait" to trait.value
+                "crashes" to block.crashes
+                "proven" to block.isProven
+            }
+        }
+        (before.keys - changed.blocks.keys).forEach { trait ->
+            logEvent("trait-unblocked") { "trait" to trait.value }
+        }
+        return changed
+    }
+
     public fun readClock(): ClockReading = ClockReading(clock.now(), System.currentTimeMillis())
 
     public fun usableTargets(service: ServiceName): List<TargetRecord> =
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -1,5 +1,5 @@
 /*
- * Interface of the external store that holds configuration, targets, hosts and crash marks.
+ * Interface of the external store that holds configuration, targets, hosts and crash reports.
  */
 package org.sapphirelever.runtime.forward
 
@@ -10,7 +10,7 @@
 import org.sapphirelever.core.forwarding.ForwardingConfiguration
 import org.sapphirelever.core.forwarding.HostAnnouncement
 import org.sapphirelever.core.forwarding.TargetRecord
-import org.sapphirelever.decisions.suspicion.CrashMark
+import org.sapphirelever.wire.CrashReportMessage
 
 /** An entry of the store, or the removal of one. */
 public sealed interface StoreEntry {
@@ -26,7 +26,9 @@
 
     public data class HostRemoved(public val host: HostId) : StoreEntry
 
-    public data class Crash(public val mark: CrashMark) : StoreEntry
+    /** What [host] observed about crashes of targets. */
+    public data class Crashes(public val host: HostId, public val report: CrashReportMessage) :
+        StoreEntry
 
     /** An entry that cannot be decoded. [target] is set if it belongs to a target. */
     public data class Unreadable(
@@ -74,6 +76,9 @@
 
     public suspend fun revoke(lease: StoreLease)
 
-    /** Publishes [mark] to the other hosts until its validity expires. */
-    public suspend fun publish(mark: CrashMark)
+    /** Replaces the crash report of [host] for [lifetime]. */
+    public suspend fun publish(host: HostId, report: CrashReportMessage, lifetime: Duration)
+
+    /** Claims [name] for [lifetime]; false if a host, this one included, holds the claim. */
+    public suspend fun claim(name: String, lifetime: Duration): Boolean
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -6,11 +6,17 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.TargetRecord
@@ -20,9 +26,12 @@
 import org.sapphirelever.decisions.forwarding.admit
 import org.sapphirelever.decisions.forwarding.chooseEngine
 import org.sapphirelever.decisions.forwarding.expectedFirstToken
+import org.sapphirelever.decisions.forwarding.leastLoaded
 import org.sapphirelever.decisions.forwarding.maximumConfigurationAge
 import org.sapphirelever.decisions.forwarding.withCached
 import org.sapphirelever.decisions.keys.Fingerprint
+import org.sapphirelever.decisions.suspicion.RequestTrait
+import org.sapphirelever.decisions.suspicion.TraitBlock
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.transport.BodyReader
 import org.sapphirelever.runtime.transport.TornMessageException
@@ -42,7 +51,7 @@
     private val calls: TargetCalls,
     private val stages: StageExecutor,
     private val executor: PieceExecutor,
-    private val suspicion: CrashSuspicion
+    private val guard: CrashGuard
 ) {
     /** Forwards [request], which arrived at [arrivedAt] with [body], and writes [response]. */
     public suspend fun forward(
@@ -73,12 +82,13 @@
             Admission.UnknownKey -> refuse(request, response, UNAUTHORIZED, "unknown-key", null)
 
             is Admission.Granted -> {
-                val fingerprint = fingerprintOf(request, body, admission)
-                if (suspicion.isSuspected(fingerprint)) {
-                    refuse(request, response, SERVICE_UNAVAILABLE, "suspected-crash", null)
+                val traits = traitsOf(request, body, admission)
+                val block = guard.blockOf(traits)
+                if (block != null && !guard.mayTry(block)) {
+                    refuseBlocked(request, response, block)
                 } else {
                     state.countRequest(admission.service)
-                    RequestExecution(request, body, arrivedAt, response, admission, fingerprint)
+                    RequestExecution(request, body, arrivedAt, response, admission, traits, block)
                         .run()
                 }
             }
@@ -97,16 +107,39 @@
         return minOf(request.timeout ?: route.timeout, route.timeout) + RESPONSE_GRACE
     }
 
-    private fun fingerprintOf(
+    private fun traitsOf(
         request: CallerRequest,
         body: ByteArray,
         granted: Admission.Granted
-    ): Fingerprint = Fingerprint.of(
-        granted.organisation?.value.orEmpty(),
-        request.head.method,
-        request.head.target,
-        String(body, Charsets.ISO_8859_1)
-    )
+    ): List<RequestTrait> {
+        val fingerprint =
+            Fingerprint.of(
+                granted.organisation?.value.orEmpty(),
+                request.head.method,
+                request.head.target,
+                String(body, Charsets.ISO_8859_1)
+            )
+        val parts = request.prompt?.shared ?: persistentListOf()
+        return parts.mapIndexed { depth, part -> RequestTrait.ofPromptPart(part.id, depth) } +
+            RequestTrait.ofRequest(fingerprint)
+    }
+
+    /** Refuses a request that has not run and would probably crash a target. */
+    private suspend fun refuseBlocked(
+        request: CallerRequest,
+        response: CallerResponse,
+        block: TraitBlock
+    ): ForwardOutcome {
+        val retryAfter = guard.retryAfter(block)
+        logEvent("request-blocked") {
+            "request" to request.id
+            "trait" to block.trait.value
+            "crashes" to block.crashes
+            "last-crash-age-ms" to (state.clock.now() - block.lastCrashAt).inWholeMilliseconds
+            "pause-ms" to retryAfter.inWholeMilliseconds
+        }
+        return refuse(request, response, SERVICE_UNAVAILABLE, SUSPECTED_CRASH, retryAfter)
+    }
 
     private suspend fun refuse(
         request: CallerRequest,
@@ -147,7 +180,8 @@
         private val arrivedAt: MonotonicTime,
         private val response: CallerResponse,
         private val granted: Admission.Granted,
-        private val fingerprint: Fingerprint
+        private val traits: List<RequestTrait>,
+        private var trialOf: TraitBlock?
     ) {
         private val route = granted.route
         private val allowedTime = minOf(request.timeout ?: route.timeout, route.timeout)
@@ -264,6 +298,8 @@
 
         private suspend fun callTargets(): ForwardOutcome {
             while (true) {
+                val block = guard.blockOf(traits)
+                if (block != null && block.trait != trialOf?.trait) return failBlocked(block)
                 val target = choose() ?: return fail("no-target")
                 if (!remaining.isPositive()) return fail("deadline-passed")
                 when (val attempt = call(target)) {
@@ -290,18 +326,27 @@
             }
         }
 
+        private suspend fun failBlocked(block: TraitBlock): ForwardOutcome =
+            if (executions == 0 && !response.hasStarted) {
+                refuseBlocked(request, response, block)
+            } else {
+                fail(SUSPECTED_CRASH)
+            }
+
         private fun mayRetryAfterRefusal(attempt: AttemptOutcome.NotRun): Boolean =
             refusals <= MAXIMUM_REFUSALS && remaining > MINIMUM_CALL_TIME &&
                 (!attempt.sent || state.tryTakeRetry(granted.service))
 
         private fun mayRepeat(): Boolean =
             route.repetition.mayRepeat && executions < route.maximumAttempts &&
-                remaining > MINIMUM_CALL_TIME && state.tryTakeRetry(granted.service)
+                guard.blockOf(traits) == null && remaining > MINIMUM_CALL_TIME &&
+                state.tryTakeRetry(granted.service)
 
         private fun choose(): TargetRecord? {
             val usable = state.usableTargets(granted.service)
             val candidates = usable.filterNot { it.id in excluded }
             val prompt = request.prompt ?: PromptShape()
+            if (trialOf != null) return leastLoaded(candidates, state.targetViews)
             return chooseEngine(
                 candidates,
                 state.targetViews,
@@ -328,18 +373,26 @@
             logChoice(target)
             val unread = request.prompt?.tokens ?: 0
             state.updateView(target.id) { it.copy(unreadTokens = it.unreadTokens + unread) }
-            var isRead = false
-            val onPromptRead = {
-                if (!isRead) {
-                    isRead = true
-                    recordPromptRead(target, unread)
+            var firstEventAt: MonotonicTime? = null
+            var hasSurvived = false
+            val onEvents = {
+                val now = state.clock.now()
+                val startedAt = firstEventAt ?: now.also { recordPromptRead(target, unread) }
+                firstEventAt = startedAt
+                if (!hasSurvived && now - startedAt >= SUSTAINED_ANSWER) {
+                    hasSurvived = true
+                    guard.survived(traits)
                 }
             }
             try {
                 val sent = TargetRequest(protocol.targetHead(request, options), body)
+                val isTrial = trialOf != null
+                trialOf = null
                 val outcome =
-                    calls.call(target, sent, request.id, callTime + RESPONSE_GRACE) { source ->
-                        receive(target, source, onPromptRead)
+                    cancelledWhenBlocked({ isTrial || firstEventAt != null }) {
+                        calls.call(target, sent, request.id, callTime + RESPONSE_GRACE) { source ->
+                            receive(target, source, onEvents)
+                        }
                     }
                 return when (outcome) {
                     is CallOutcome.Completed -> outcome.value
@@ -348,21 +401,46 @@
                         AttemptOutcome.NotRun("not-sent: ${outcome.reason}", sent = false)
 
                     is CallOutcome.Lost -> {
-                        if (outcome.broken) suspicion.checkForCrash(request.id, fingerprint, target)
+                        if (outcome.broken && !hasSurvived) {
+                            guard.checkForCrash(request.id, traits, target)
+                        }
                         AttemptOutcome.MayHaveRun("lost: ${outcome.reason}")
                     }
                 }
             } finally {
-                if (!isRead) {
+                if (firstEventAt == null) {
                     state.updateView(target.id) { it.copy(unreadTokens = it.unreadTokens - unread) }
                 }
             }
         }
 
+        /**
+         * Runs [call], and cancels it if a trait of the request is blocked, unless [isExempt]. The
+         * target then drops the request, if it has not begun to answer.
+         */
+        private suspend fun <T> cancelledWhenBlocked(
+            isExempt: () -> Boolean,
+            call: suspend () -> CallOutcome<T>
+        ): CallOutcome<T> = coroutineScope {
+            val calling = async { call() }
+            val watch = launch {
+                guard.awaitCancellingBlock(traits)
+                if (!isExempt()) calling.cancel()
+            }
+            try {
+                calling.await()
+            } catch (_: CancellationException) {
+                ensureActive()
+                CallOutcome.Lost(SUSPECTED_CRASH, broken = false)
+            } finally {
+                watch.cancel()
+            }
+        }
+
         private suspend fun receive(
             target: TargetRecord,
             source: OpenResponse,
-            onPromptRead: () -> Unit
+            onEvents: () -> Unit
         ): AttemptOutcome {
             val reply = source.reply
             if (reply.notRun) {
@@ -374,14 +452,18 @@
             }
             if (route.repetition.isStream && reply.isSuccess) {
                 stream.deliver(source) {
-                    onPromptRead()
-                    areResultsConsumed = results.isNotEmpty()
-                    releaseResults()
+                    onEvents()
+                    if (results.isNotEmpty()) {
+                        areResultsConsumed = true
+                        releaseResults()
+                    }
                 }
+                guard.survived(traits)
                 return AttemptOutcome.Done(ForwardOutcome(reply.status, "answered", target.id))
             }
             val complete = CompleteResponse(source, source.body.readWholeOrThrow(), target.id)
             if (reply.status >= FIRST_SERVER_ERROR) return AttemptOutcome.Failed(complete)
+            guard.survived(traits)
             return AttemptOutcome.Done(deliver(complete))
         }
 
@@ -438,6 +520,14 @@
         const val GATEWAY_TIMEOUT = 504
         const val FIRST_SERVER_ERROR = 500
 
+        const val SUSPECTED_CRASH = "suspected-crash"
+
+        /**
+         * Time for which a target must send events before the request counts as harmless; a target
+         * that crashes does so when it begins its answer.
+         */
+        val SUSTAINED_ANSWER = 1.seconds
+
         /** Targets that may refuse a request before the caller is told to retry later. */
         const val MAXIMUM_REFUSALS = 3
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -1,11 +1,12 @@
 /*
- * Synchronisation of this host with the store: configuration, targets, other hosts and crash marks.
+ * Synchronisation of this host with the store: configuration, targets, other hosts and crash reports.
  * One call per period covers all of them, so that the number of calls to the store does not grow
  * with the number of targets.
  */
 package org.sapphirelever.runtime.forward
 
 import java.io.IOException
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CompletableDeferred
@@ -21,9 +22,10 @@
 import org.sapphirelever.decisions.forwarding.removed
 import org.sapphirelever.decisions.forwarding.storeAnswered
 import org.sapphirelever.decisions.forwarding.storeLost
-import org.sapphirelever.decisions.suspicion.merged
+import org.sapphirelever.decisions.suspicion.CrashEvidence
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.wire.CrashReportMessage
 
 /** Polls [store], applies its changes to [state], and announces this host. */
 public class StoreFeed(private val store: ForwardingStore, private val state: ForwardingState) {
@@ -74,6 +76,35 @@
         lease?.let { revoke(it) }
     }
 
+    /** Publishes the crash evidence of this host whenever it is due. */
+    public suspend fun publishCrashes() {
+        for (due in state.crashReportDue) {
+            // Requests that the same crash broke are reported together.
+            delay(CRASH_GATHERING_TIME)
+            val now = state.readClock()
+            val evidence = state.updateCrashes { it.copy(publishedAt = now.monotonic) }
+            val report = evidence.publication().toMessage(now)
+            val isPublished = publish(report)
+            if (!isPublished) state.crashReportDue.trySend(Unit)
+            delay(if (isPublished) crashReportPeriod() else RETRY_PERIOD)
+        }
+    }
+
+    private suspend fun publish(report: CrashReportMessage): Boolean = try {
+        store.publish(state.profile.host, report, CrashEvidence.VALIDITY)
+        logEvent("crashes-published") {
+            "crashes" to report.crashes.size
+            "survivals" to report.survivals.size
+        }
+        true
+    } catch (failure: IOException) {
+        logWarning("crashes-unpublished") { "failure" to failure.message }
+        false
+    }
+
+    private fun crashReportPeriod(): Duration =
+        CrashEvidence.publicationPeriod(state.hosts.value.size)
+
     /** Withdraws the announcement, so that other hosts send no more work to this one. */
     public fun withdraw() {
         withdrawn.complete(Unit)
@@ -122,10 +153,10 @@
                     .put(state.profile.host, state.profile.announcement)
             }
         }
-        received.entries.forEach(::apply)
+        received.entries.forEach { apply(it, received.isFullListing) }
     }
 
-    private fun apply(entry: StoreEntry) {
+    private fun apply(entry: StoreEntry, isFullListing: Boolean) {
         when (entry) {
             is StoreEntry.Configuration -> adopt(entry)
 
@@ -140,8 +171,7 @@
                     hosts.remove(entry.host).put(state.profile.host, state.profile.announcement)
                 }
 
-            is StoreEntry.Crash ->
-                state.suspicion.update { it.merged(listOf(entry.mark), state.clock.now()) }
+            is StoreEntry.Crashes -> receive(entry, isFullListing)
 
             is StoreEntry.Unreadable -> {
                 logWarning("store-entry-unreadable") {
@@ -153,6 +183,16 @@
         }
     }
 
+    private fun receive(entry: StoreEntry.Crashes, isFullListing: Boolean) {
+        if (entry.host == state.profile.host) return
+        val now = state.readClock()
+        // A report that is read as a change was written recently, whatever the clocks say.
+        val maximum = if (isFullListing) CrashEvidence.VALIDITY else MAXIMUM_REPORT_DELAY
+        val elapsed = entry.report.elapsed(now).coerceAtMost(maximum)
+        val evidence = entry.report.toEvidence(now, elapsed)
+        state.updateCrashes { it.received(entry.host, evidence, now.monotonic) }
+    }
+
     private fun adopt(entry: StoreEntry.Configuration) {
         val before = state.configuration.value.version
         val after = state.configuration.update { it.adopted(entry.configuration) }.version
@@ -196,6 +236,12 @@
          */
         val POLL_PERIOD = 700.milliseconds
         val RETRY_PERIOD = 250.milliseconds
+
+        /** A report is read within a poll period, plus the time of two calls. */
+        val MAXIMUM_REPORT_DELAY = 1.seconds
+
+        /** Longer than it takes to notice that the connections to a crashed target broke. */
+        val CRASH_GATHERING_TIME = 50.milliseconds
         val ANNOUNCEMENT_TTL = 6.seconds
         val ANNOUNCEMENT_RENEWAL_PERIOD = 2.seconds
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StreamDelivery.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StreamDelivery.kt
@@ -13,16 +13,14 @@
     public var lastEventId: String? = lastEventId
         private set
 
-    /** Writes the events of [source] as they arrive; [onFirstEvent] runs before the first one. */
-    public suspend fun deliver(source: OpenResponse, onFirstEvent: () -> Unit) {
+    /** Writes the events of [source] as they arrive; [onEvents] runs before each write. */
+    public suspend fun deliver(source: OpenResponse, onEvents: () -> Unit) {
         val splitter = EventSplitter()
-        var isFirst = true
         while (true) {
             val part = source.body.next() ?: break
             val events = splitter.add(part).filterNot { isDelivered(it) }
             if (events.isEmpty()) continue
-            if (isFirst) onFirstEvent()
-            isFirst = false
+            onEvents()
             write(source, events.map { it.bytes }.reduce { all, bytes -> all + bytes })
             lastEventId = events.lastOrNull { it.id != null }?.id ?: lastEventId
         }
