--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
@@ -63,6 +63,15 @@
     public val slownessPercent: Int
 )
 
+/** What a target states about the requests that it takes from all hosts together. */
+public sealed interface RequestLimit {
+    public data object None : RequestLimit
+
+    public data class PerSecond(public val rate: Double) : RequestLimit
+
+    public data class Unreadable(public val text: String) : RequestLimit
+}
+
 /**
  * The decoded head of a target's response.
  *
@@ -79,7 +88,8 @@
     public val sealed: Boolean,
     public val hasContentEncoding: Boolean,
     public val load: ReportedLoad?,
-    public val idleTimeout: Duration?
+    public val idleTimeout: Duration?,
+    public val requestLimit: RequestLimit = RequestLimit.None
 ) {
     public val isSuccess: Boolean get() = status in SUCCESS
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.transport.BodyReader
 import org.sapphirelever.runtime.transport.Framing
 import org.sapphirelever.runtime.transport.HttpConnection
@@ -100,6 +101,12 @@
             val head = receive()
             val reply = protocol.decode(head)
             reply.load?.let { state.recordLoad(target.id, it) }
+            if (reply.requestLimit != RequestLimit.None) {
+                logEvent("limit-named") {
+                    "target" to target.id
+                    "limit" to reply.requestLimit
+                }
+            }
             val framing = head.headers.responseFraming(request.head.method, head.status)
             val body = TrackedBody(connection.body(framing))
             val value = use(OpenResponse(head, reply, body))
