Divide the request limit that a target names among hosts

Callers saw: answers come slower from engines that are in need and get more than they asked for. Cause: no decision read the limit of an answer; engines were chosen by load, prefix and latency. The class of fault: a statement of a target that is passed on and not followed. Change: hosts hear a limit from answers and publish it as one record each. As many hosts as can send a request every two seconds share it, in an order that all compute alike; the others use other targets. Every call to a target takes from the share: first sends, retries, resumed streams, stage calls and releases. A request that finds only limited targets waits shortly or is refused at once with a time to come back. A limit ends with an answer that names none, or a minute after the last.

--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/TargetRecord.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/TargetRecord.kt
@@ -23,4 +23,9 @@
     public val slots: Int,
     public val leaving: Boolean,
     public val startedAt: Long? = null
-)
+) {
+    public val incarnation: TargetIncarnation get() = TargetIncarnation(id, startedAt)
+}
+
+/** One run of a target; a target that restarts under its identity has another [startedAt]. */
+public data class TargetIncarnation(public val target: TargetId, public val startedAt: Long?)
--- /dev/null
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetLimits.kt
@@ -0,0 +1,203 @@
+/*
+ * Limits that targets name for the requests of all hosts together. A limit is divided among as many
+ * hosts as can each send a request every two seconds; the others use different targets. All hosts
+ * compute the same division from the list of hosts, so that a request needs no communication.
+ */
+package org.sapphirelever.decisions.forwarding
+
+import kotlin.math.abs
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.ZERO
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import org.sapphirelever.core.HostId
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.forwarding.TargetIncarnation
+import org.sapphirelever.decisions.Decision
+import org.sapphirelever.decisions.decide
+
+/** What a target stated in an answer; [rate] in requests a second, or null without a limit. */
+public data class LimitStatement(public val rate: Double?, public val heardAt: MonotonicTime)
+
+/** The last statement of each target. */
+public typealias LimitStatements = PersistentMap<TargetIncarnation, LimitStatement>
+
+/**
+ * Requests that this host may send to one target.
+ *
+ * @property rate share of this host, in requests a second
+ * @property tokens requests that it may send at [filledAt]
+ */
+public data class RequestShare(
+    public val rate: Double,
+    public val tokens: Double,
+    public val filledAt: MonotonicTime
+) {
+    private val capacity: Double get() = maxOf(1.0, rate * BURST.toDouble(DurationUnit.SECONDS))
+
+    public fun filled(now: MonotonicTime): RequestShare {
+        val earned = rate * (now - filledAt).toDouble(DurationUnit.SECONDS)
+        return copy(tokens = minOf(tokens + earned, capacity), filledAt = now)
+    }
+
+    /** Time until this host may send a request; infinite if it has no share. */
+    public fun wait(now: MonotonicTime): Duration {
+        val missing = 1.0 - filled(now).tokens
+        return when {
+            missing <= 0.0 -> ZERO
+            rate <= 0.0 -> Duration.INFINITE
+            else -> (missing / rate).seconds
+        }
+    }
+
+    private companion object {
+        /** Time whose requests may be sent at once. */
+        val BURST = 0.5.seconds
+    }
+}
+
+/**
+ * Known limits.
+ *
+ * @property own statements that this host heard
+ * @property others statements that other hosts heard
+ * @property published what this host last published of [own]
+ */
+public data class TargetLimits(
+    public val own: LimitStatements = persistentMapOf(),
+    public val others: PersistentMap<HostId, LimitStatements> = persistentMapOf(),
+    public val published: LimitStatements = persistentMapOf(),
+    private val shares: PersistentMap<TargetIncarnation, RequestShare> = persistentMapOf()
+) {
+    private val isEmpty: Boolean get() = own.isEmpty() && others.isEmpty()
+
+    /** Limit of [target] in requests a second, by the latest statement; null without a limit. */
+    public fun limitOf(target: TargetIncarnation, now: MonotonicTime): Double? {
+        if (isEmpty) return null
+        val statements = others.values.mapNotNull { it[target] } + listOfNotNull(own[target])
+        val latest = statements.maxByOrNull { it.heardAt } ?: return null
+        return latest.rate.takeIf { now - latest.heardAt < VALIDITY }
+    }
+
+    /** Records that [target] stated the limit [rate], or null for none. */
+    public fun heard(target: TargetIncarnation, rate: Double?, now: MonotonicTime): TargetLimits {
+        if (rate == null && limitOf(target, now) == null) return this
+        val recent = own.filterValues { now - it.heardAt < VALIDITY }.toPersistentMap()
+        return copy(own = recent.put(target, LimitStatement(rate, now)))
+    }
+
+    /** Replaces the statements that [host] heard. */
+    public fun received(
+        host: HostId,
+        statements: LimitStatements,
+        now: MonotonicTime
+    ): TargetLimits {
+        val recent =
+            others.filterValues { all -> all.values.any { now - it.heardAt < VALIDITY } }
+        return copy(others = recent.toPersistentMap().put(host, statements))
+    }
+
+    /** Whether other hosts lack what this host heard. */
+    public fun isPublicationDue(now: MonotonicTime): Boolean = own.any { (target, statement) ->
+        val known = published[target]
+        val rate = statement.rate
+        val knownRate = known?.rate
+        when {
+            known == null -> true
+            rate == null || knownRate == null -> rate != knownRate
+            abs(rate - knownRate) > rate * NOTABLE_CHANGE -> true
+            else -> statement.heardAt > known.heardAt && now - known.heardAt > REFRESH_PERIOD
+        }
+    }
+
+    /**
+     * Time until this host may send a request to [target]. [order] supplies the hosts in the order
+     * in which they take a share; it is called only if there is a limit.
+     */
+    public fun wait(
+        target: TargetIncarnation,
+        now: MonotonicTime,
+        self: HostId,
+        order: () -> List<HostId>
+    ): Duration = share(target, now, self, order)?.wait(now) ?: ZERO
+
+    /** Share of this host in the limit of [target], in requests a second; null without a limit. */
+    public fun shareRate(
+        target: TargetIncarnation,
+        now: MonotonicTime,
+        self: HostId,
+        order: () -> List<HostId>
+    ): Double? = share(target, now, self, order)?.rate
+
+    /** Takes one request to [target] from the share of this host; no action if none is left. */
+    public fun take(
+        target: TargetIncarnation,
+        now: MonotonicTime,
+        self: HostId,
+        order: () -> List<HostId>
+    ): Decision<TargetLimits, Unit> {
+        val share = share(target, now, self, order) ?: return decide(Unit)
+        val filled = share.filled(now)
+        if (filled.tokens < 1.0) return copy(shares = shares.put(target, filled)).decide()
+        val remaining = filled.copy(tokens = filled.tokens - 1.0)
+        return Decision(copy(shares = shares.put(target, remaining)), persistentListOf(Unit))
+    }
+
+    /** Starts the share of this host in the limit of [target], if there is one, without tokens. */
+    public fun started(
+        target: TargetIncarnation,
+        now: MonotonicTime,
+        self: HostId,
+        order: () -> List<HostId>
+    ): TargetLimits {
+        val share = share(target, now, self, order)
+        val kept = shares.filterKeys { it == target || limitOf(it, now) != null }.toPersistentMap()
+        return copy(shares = if (share == null) kept.remove(target) else kept.put(target, share))
+    }
+
+    private fun share(
+        target: TargetIncarnation,
+        now: MonotonicTime,
+        self: HostId,
+        order: () -> List<HostId>
+    ): RequestShare? {
+        val limit = limitOf(target, now) ?: return null
+        val rate = shareOf(limit, order(), self)
+        return shares[target]?.filled(now)?.copy(rate = rate) ?: RequestShare(rate, 0.0, now)
+    }
+
+    public companion object {
+        /**
+         * Time after which a limit lapses without an answer that confirms it. The hosts with a
+         * share go on sending, so this happens only without requests.
+         */
+        public val VALIDITY: Duration = 60.seconds
+
+        /** Shorter than [VALIDITY], so that a lost publication ends no limit. */
+        private val REFRESH_PERIOD = 20.seconds
+
+        /** Relative change of a limit that other hosts need to know. */
+        private const val NOTABLE_CHANGE = 0.1
+    }
+}
+
+/** Share of [self] in [limit], in requests a second, if the hosts take shares in [order]. */
+public fun shareOf(limit: Double, order: List<HostId>, self: HostId): Double {
+    val position = order.indexOf(self)
+    val sharing = (limit / MINIMUM_SHARE).toInt().coerceIn(1, order.size.coerceAtLeast(1))
+    if (position !in 0 until sharing) return 0.0
+    return USABLE_RATIO * maxOf(limit, TRIAL_RATE) / sharing
+}
+
+/** Smallest useful share of a host, in requests a second. */
+private const val MINIMUM_SHARE = 0.5
+
+/** Part of a limit that is used; the rest covers a host that joins or leaves. */
+private const val USABLE_RATIO = 0.9
+
+/** Rate at which a target that takes no requests is asked whether it still does not. */
+private const val TRIAL_RATE = 0.1
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
@@ -13,6 +13,7 @@
 import kotlinx.collections.immutable.toPersistentMap
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.decisions.keys.Fingerprint
 
 /** A crash, with the depth of each trait of the requests that were running there. */
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/RequestTrait.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/RequestTrait.kt
@@ -3,7 +3,6 @@
  */
 package org.sapphirelever.decisions.suspicion
 
-import org.sapphirelever.core.TargetId
 import org.sapphirelever.decisions.keys.Fingerprint
 
 /**
@@ -31,6 +30,3 @@
             Fingerprint(value.take(FINGERPRINT_DIGITS))
     }
 }
-
-/** One run of a target; a target that restarts under its identity has another [startedAt]. */
-public data class TargetIncarnation(public val target: TargetId, public val startedAt: Long?)
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidenceTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidenceTest.kt
@@ -10,6 +10,7 @@
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.decisions.keys.Fingerprint
 
 /** Guards against crashes that go on, and against blocking what crashed requests shared by chance. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CrashGuard.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CrashGuard.kt
@@ -18,12 +18,12 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.flow.first
 import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.Decision
 import org.sapphirelever.decisions.decide
 import org.sapphirelever.decisions.keys.Fingerprint
 import org.sapphirelever.decisions.suspicion.RequestTrait
-import org.sapphirelever.decisions.suspicion.TargetIncarnation
 import org.sapphirelever.decisions.suspicion.TraitBlock
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
@@ -91,7 +91,7 @@
     }
 
     private suspend fun check(request: String, traits: List<RequestTrait>, target: TargetRecord) {
-        val incarnation = TargetIncarnation(target.id, target.startedAt)
+        val incarnation = target.incarnation
         val probe = probes.computeIfAbsent(incarnation) { scope.async { isAlive(target) } }
         val isAlive = probe.await()
         probes.remove(incarnation, probe)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CrashReports.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CrashReports.kt
@@ -7,12 +7,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.toPersistentMap
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.decisions.forwarding.ClockReading
 import org.sapphirelever.decisions.keys.Fingerprint
-import org.sapphirelever.decisions.suspicion.CrashEvidence
 import org.sapphirelever.decisions.suspicion.HostEvidence
 import org.sapphirelever.decisions.suspicion.ObservedCrash
-import org.sapphirelever.decisions.suspicion.TargetIncarnation
 import org.sapphirelever.wire.CrashMessage
 import org.sapphirelever.wire.CrashReportMessage
 
@@ -52,7 +51,3 @@
                 .toPersistentMap()
     )
 }
-
-/** Time since the publication of this report, as far as the wall clocks of the hosts agree. */
-internal fun CrashReportMessage.elapsed(now: ClockReading): Duration =
-    (now.wallMillis - publishedAt).milliseconds.coerceIn(Duration.ZERO, CrashEvidence.VALIDITY)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -114,6 +114,7 @@
             child("feed") { feed.follow() }
             child("announcement") { feed.announce() }
             child("crash-reports") { feed.publishCrashes() }
+            child("limit-reports") { feed.publishLimits() }
         }
         child("settings") { settings.follow() }
         child("callers") { serveCallers() }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -3,6 +3,7 @@
  */
 package org.sapphirelever.runtime.forward
 
+import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
@@ -51,6 +52,9 @@
     private val crashes = StateCell(CrashEvidence())
     private val mutableBlocks = MutableStateFlow(crashes.value.blocks)
 
+    /** Share of this host in the request limits of targets. */
+    public val shares: RequestShares = RequestShares(this)
+
     /** Signals that the crash evidence of this host should be published. */
     public val crashReportDue: Channel<Unit> = Channel(Channel.CONFLATED)
     private val views: StateCell<PersistentMap<TargetId, TargetView>> =
@@ -95,6 +99,17 @@
     public fun usableTargets(service: ServiceName): List<TargetRecord> =
         directory.value.usable(service, clock.now())
 
+    /** Usable targets that take another request from this host now. */
+    public fun availableTargets(service: ServiceName): List<TargetRecord> =
+        usableTargets(service).filter { shares.wait(it) == Duration.ZERO }
+
+    /**
+     * Time until the first usable target takes a request from this host: zero if one does now,
+     * infinite if this host has no share in the limit of any.
+     */
+    public fun limitWait(service: ServiceName): Duration =
+        shares.shortestWait(usableTargets(service))
+
     /** Updates the view of [target]. */
     public fun updateView(target: TargetId, change: (TargetView) -> TargetView) {
         views.update { it.put(target, change(it[target] ?: TargetView())) }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -11,6 +11,7 @@
 import org.sapphirelever.core.forwarding.HostAnnouncement
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.wire.CrashReportMessage
+import org.sapphirelever.wire.LimitReportMessage
 
 /** An entry of the store, or the removal of one. */
 public sealed interface StoreEntry {
@@ -30,6 +31,10 @@
     public data class Crashes(public val host: HostId, public val report: CrashReportMessage) :
         StoreEntry
 
+    /** Request limits that [host] heard from targets. */
+    public data class Limits(public val host: HostId, public val report: LimitReportMessage) :
+        StoreEntry
+
     /** An entry that cannot be decoded. [target] is set if it belongs to a target. */
     public data class Unreadable(
         public val key: String,
@@ -79,6 +84,9 @@
     /** Replaces the crash report of [host] for [lifetime]. */
     public suspend fun publish(host: HostId, report: CrashReportMessage, lifetime: Duration)
 
+    /** Replaces the limits that [host] heard for [lifetime]. */
+    public suspend fun publish(host: HostId, report: LimitReportMessage, lifetime: Duration)
+
     /** Claims [name] for [lifetime]; false if a host, this one included, holds the claim. */
     public suspend fun claim(name: String, lifetime: Duration): Boolean
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
@@ -5,6 +5,7 @@
 package org.sapphirelever.runtime.forward
 
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlinx.coroutines.CompletableDeferred
@@ -88,6 +89,8 @@
         private val queue = StateCell(PieceQueue())
         private val pending = ConcurrentHashMap<Long, PendingPiece>()
 
+        private val isLimitTimerSet = AtomicBoolean()
+
         private val heldResults = ConcurrentHashMap<String, StageResult>()
 
         suspend fun execute(stage: StagePieces, limits: BatchLimits): List<StageResult> {
@@ -164,6 +167,7 @@
             queue
                 .decide { it.add(pieces.map { piece -> piece.waiting }, context(limits)) }
                 .forEach { start(it, limits) }
+            startWhenLimitPermits(limits)
         }
 
         private fun start(call: StageCall, limits: BatchLimits) {
@@ -178,6 +182,7 @@
                     queue
                         .decide { it.ended(ended, context(limits)) }
                         .forEach { start(it, limits) }
+                    startWhenLimitPermits(limits)
                 }
             }
         }
@@ -291,6 +296,20 @@
             startAfter(FULL_TARGET_COOLDOWN, limits)
         }
 
+        /** Starts calls again when the request limit of a target permits, if pieces are waiting. */
+        private fun startWhenLimitPermits(limits: BatchLimits) {
+            if (queue.value.waiting.isEmpty()) return
+            val wait = state.limitWait(service)
+            if (wait == Duration.ZERO || wait == Duration.INFINITE) return
+            if (!isLimitTimerSet.compareAndSet(false, true)) return
+            scope.launch {
+                delay(wait)
+                isLimitTimerSet.set(false)
+                queue.decide { it.start(context(limits)) }.forEach { start(it, limits) }
+                startWhenLimitPermits(limits)
+            }
+        }
+
         /** Starts the calls that are possible after [pause]. */
         private fun startAfter(pause: Duration, limits: BatchLimits) {
             scope.launch {
@@ -340,7 +359,7 @@
         private fun context(limits: BatchLimits): PieceContext = PieceContext(
             service = service,
             limits = limits,
-            candidates = state.usableTargets(service),
+            candidates = state.availableTargets(service),
             views = state.targetViews,
             hosts = callingHosts(service),
             host = state.profile.host.value,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.MonotonicTime
@@ -192,11 +193,21 @@
         private var excluded: PersistentSet<TargetId> = persistentSetOf()
         private var executions = 0
         private var refusals = 0
+        private var limitWaited = Duration.ZERO
 
         private val remaining: Duration get() = deadline - state.clock.now()
 
         suspend fun run(): ForwardOutcome {
             try {
+                limitRetryAfter()?.let { retryAfter ->
+                    return refuse(
+                        request,
+                        response,
+                        SERVICE_UNAVAILABLE,
+                        TARGETS_LIMITED,
+                        retryAfter
+                    )
+                }
                 if (route.stages.isNotEmpty()) {
                     overloadRetryAfter()?.let { retryAfter ->
                         return refuse(
@@ -225,6 +236,20 @@
             }
         }
 
+        /** Time after which the caller should retry, or null if a target will take the request. */
+        private fun limitRetryAfter(): Duration? {
+            val stageTime = stages.expectedTime(request, route.stages, granted.rank).current
+            val wait = state.limitWait(granted.service)
+            if (wait <= stageTime + maximumLimitWait()) return null
+            return limitPause(wait)
+        }
+
+        private fun maximumLimitWait(): Duration = minOf(MAXIMUM_LIMIT_WAIT, remaining / 4)
+
+        /** Pause of a caller that may find a share on another host before this one has any. */
+        private fun limitPause(wait: Duration): Duration =
+            wait.coerceIn(RETRY_AFTER, MAXIMUM_LIMIT_PAUSE)
+
         private suspend fun runStages() {
             val softDeadline = arrivedAt + route.objective
             results =
@@ -300,7 +325,11 @@
             while (true) {
                 val block = guard.blockOf(traits)
                 if (block != null && block.trait != trialOf?.trait) return failBlocked(block)
-                val target = choose() ?: return fail("no-target")
+                val target = choose()
+                if (target == null) {
+                    if (awaitLimit()) continue
+                    return failWithoutTarget()
+                }
                 if (!remaining.isPositive()) return fail("deadline-passed")
                 when (val attempt = call(target)) {
                     is AttemptOutcome.Done -> return attempt.outcome
@@ -326,6 +355,33 @@
             }
         }
 
+        /** Waits until a target takes a request again; false if that takes too long. */
+        private suspend fun awaitLimit(): Boolean {
+            val targets = remainingTargets()
+            val wait = state.shares.shortestWait(targets)
+            if (targets.isEmpty() || limitWaited + wait > maximumLimitWait()) return false
+            limitWaited += wait.coerceAtLeast(LIMIT_POLL_PERIOD)
+            delay(wait.coerceAtLeast(LIMIT_POLL_PERIOD))
+            return true
+        }
+
+        private suspend fun failWithoutTarget(): ForwardOutcome {
+            val wait = state.shares.shortestWait(remainingTargets())
+            if (wait == Duration.ZERO || executions > 0 || response.hasStarted) {
+                return fail("no-target")
+            }
+            return refuse(
+                request,
+                response,
+                SERVICE_UNAVAILABLE,
+                TARGETS_LIMITED,
+                limitPause(wait)
+            )
+        }
+
+        private fun remainingTargets(): List<TargetRecord> =
+            state.usableTargets(granted.service).filterNot { it.id in excluded }
+
         private suspend fun failBlocked(block: TraitBlock): ForwardOutcome =
             if (executions == 0 && !response.hasStarted) {
                 refuseBlocked(request, response, block)
@@ -343,8 +399,8 @@
                 state.tryTakeRetry(granted.service)
 
         private fun choose(): TargetRecord? {
-            val usable = state.usableTargets(granted.service)
-            val candidates = usable.filterNot { it.id in excluded }
+            val available = state.availableTargets(granted.service)
+            val candidates = available.filterNot { it.id in excluded }
             val prompt = request.prompt ?: PromptShape()
             if (trialOf != null) return leastLoaded(candidates, state.targetViews)
             return chooseEngine(
@@ -520,6 +576,14 @@
         const val GATEWAY_TIMEOUT = 504
         const val FIRST_SERVER_ERROR = 500
 
+        const val TARGETS_LIMITED = "targets-limited"
+
+        /** Short compared to the objectives of requests. */
+        val MAXIMUM_LIMIT_WAIT = 500.milliseconds
+        val LIMIT_POLL_PERIOD = 20.milliseconds
+
+        /** Other hosts may have a share in limits in which this one has none. */
+        val MAXIMUM_LIMIT_PAUSE = 1.seconds
         const val SUSPECTED_CRASH = "suspected-crash"
 
         /**
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
@@ -0,0 +1,120 @@
+/*
+ * The share of this host in the request limits of targets.
+ */
+package org.sapphirelever.runtime.forward
+
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.ZERO
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.coroutines.channels.Channel
+import org.sapphirelever.core.HostId
+import org.sapphirelever.core.forwarding.HostAnnouncement
+import org.sapphirelever.core.forwarding.TargetIncarnation
+import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.LimitStatements
+import org.sapphirelever.decisions.forwarding.TargetLimits
+import org.sapphirelever.decisions.forwarding.assignmentOrder
+import org.sapphirelever.decisions.rendezvousRank
+import org.sapphirelever.runtime.StateCell
+import org.sapphirelever.runtime.log.logEvent
+
+/** Limits that targets named to this host or to others, and what this host may send of them. */
+public class RequestShares(private val state: ForwardingState) {
+    private val limits = StateCell(TargetLimits())
+
+    /** Signals that the limits that this host heard should be published. */
+    public val reportDue: Channel<Unit> = Channel(Channel.CONFLATED)
+
+    @Volatile
+    private var orders = HostOrders(state.hosts.value)
+
+    /** Records what [target] stated in an answer. */
+    public fun record(target: TargetRecord, limit: RequestLimit) {
+        val rate =
+            when (limit) {
+                RequestLimit.None -> null
+
+                is RequestLimit.PerSecond -> limit.rate
+
+                is RequestLimit.Unreadable -> {
+                    logEvent("limit-unreadable") {
+                        "target" to target.id
+                        "text" to limit.text
+                    }
+                    return
+                }
+            }
+        val now = state.clock.now()
+        val before = limits.value.limitOf(target.incarnation, now)
+        if (rate == null && before == null) return
+        val changed = limits.update { it.heard(target.incarnation, rate, now).startedAt(target) }
+        if (rate != before) {
+            logEvent("limit-changed") {
+                "target" to target.id
+                "limit" to rate
+                "before" to before
+                "share" to changed.rateOf(target)
+            }
+        }
+        if (changed.isPublicationDue(now)) reportDue.trySend(Unit)
+    }
+
+    /** Replaces the statements that [host] heard. */
+    public fun receive(host: HostId, statements: LimitStatements) {
+        val now = state.clock.now()
+        val targets = state.directory.value.targets
+        limits.update { all ->
+            statements.keys
+                .mapNotNull { targets[it.target]?.record }
+                .fold(all.received(host, statements, now)) { limits, it -> limits.startedAt(it) }
+        }
+    }
+
+    /** Time until this host may send a request to [target]; infinite if it has no share. */
+    public fun wait(target: TargetRecord): Duration = limits.value
+        .wait(target.incarnation, state.clock.now(), state.profile.host) { orderOf(target) }
+
+    /** Takes one request to [target] from the share of this host; false if none is left. */
+    public fun tryTake(target: TargetRecord): Boolean {
+        if (limits.value.limitOf(target.incarnation, state.clock.now()) == null) return true
+        return limits.decide { all ->
+            all.take(target.incarnation, state.clock.now(), state.profile.host) { orderOf(target) }
+        }.isNotEmpty()
+    }
+
+    /** What this host heard, to be published; [TargetLimits.published] then holds it. */
+    public fun publication(): LimitStatements =
+        limits.update { it.copy(published = it.own) }.published
+
+    private fun TargetLimits.startedAt(target: TargetRecord): TargetLimits =
+        started(target.incarnation, state.clock.now(), state.profile.host) { orderOf(target) }
+
+    private fun TargetLimits.rateOf(target: TargetRecord): Double? =
+        shareRate(target.incarnation, state.clock.now(), state.profile.host) { orderOf(target) }
+
+    /** Hosts in the order in which they take a share in the limit of [target]. */
+    private fun orderOf(target: TargetRecord): List<HostId> {
+        val hosts = state.hosts.value
+        if (orders.hosts !== hosts) orders = HostOrders(hosts)
+        return orders.byTarget.computeIfAbsent(target.incarnation) {
+            val runsStages =
+                state.configuration.value.table?.service(target.service)?.batching != null
+            if (runsStages) {
+                // The stage calls of a service are all made by the first host of this order.
+                assignmentOrder(target.service, hosts)
+            } else {
+                hosts.keys.sortedByDescending { rendezvousRank(target.id.value, it.value) }
+            }
+        }
+    }
+
+    /** Orders of [hosts], which are the same until a host joins or leaves. */
+    private class HostOrders(val hosts: PersistentMap<HostId, HostAnnouncement>) {
+        val byTarget = ConcurrentHashMap<TargetIncarnation, List<HostId>>()
+    }
+}
+
+/** Shortest of the waiting times of these targets, or zero if there are none. */
+internal fun RequestShares.shortestWait(targets: List<TargetRecord>): Duration =
+    targets.minOfOrNull { wait(it) } ?: ZERO
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -10,11 +10,13 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.ClockReading
+import org.sapphirelever.decisions.forwarding.TargetLimits
 import org.sapphirelever.decisions.forwarding.adopted
 import org.sapphirelever.decisions.forwarding.confirmed
 import org.sapphirelever.decisions.forwarding.listed
@@ -25,7 +27,6 @@
 import org.sapphirelever.decisions.suspicion.CrashEvidence
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
-import org.sapphirelever.wire.CrashReportMessage
 
 /** Polls [store], applies its changes to [state], and announces this host. */
 public class StoreFeed(private val store: ForwardingStore, private val state: ForwardingState) {
@@ -78,32 +79,48 @@
 
     /** Publishes the crash evidence of this host whenever it is due. */
     public suspend fun publishCrashes() {
-        for (due in state.crashReportDue) {
-            // Requests that the same crash broke are reported together.
-            delay(CRASH_GATHERING_TIME)
+        publishWhenDue("crashes", state.crashReportDue) {
             val now = state.readClock()
             val evidence = state.updateCrashes { it.copy(publishedAt = now.monotonic) }
             val report = evidence.publication().toMessage(now)
-            val isPublished = publish(report)
-            if (!isPublished) state.crashReportDue.trySend(Unit)
-            delay(if (isPublished) crashReportPeriod() else RETRY_PERIOD)
+            store.publish(state.profile.host, report, CrashEvidence.VALIDITY)
         }
     }
 
-    private suspend fun publish(report: CrashReportMessage): Boolean = try {
-        store.publish(state.profile.host, report, CrashEvidence.VALIDITY)
-        logEvent("crashes-published") {
-            "crashes" to report.crashes.size
-            "survivals" to report.survivals.size
+    /** Publishes the request limits that this host heard whenever it is due. */
+    public suspend fun publishLimits() {
+        publishWhenDue("limits", state.shares.reportDue) {
+            val report = state.shares.publication().toMessage(state.readClock())
+            store.publish(state.profile.host, report, TargetLimits.VALIDITY)
         }
-        true
-    } catch (failure: IOException) {
-        logWarning("crashes-unpublished") { "failure" to failure.message }
-        false
     }
 
-    private fun crashReportPeriod(): Duration =
-        CrashEvidence.publicationPeriod(state.hosts.value.size)
+    private suspend fun publishWhenDue(
+        what: String,
+        due: Channel<Unit>,
+        publish: suspend () -> Unit
+    ) {
+        for (signal in due) {
+            // Events with the same cause, such as a crash, are published together.
+            delay(GATHERING_TIME)
+            val isPublished =
+                try {
+                    publish()
+                    logEvent("report-published") { "of" to what }
+                    true
+                } catch (failure: IOException) {
+                    logWarning("report-unpublished") {
+                        "of" to what
+                        "failure" to failure.message
+                    }
+                    false
+                }
+            if (!isPublished) due.trySend(Unit)
+            delay(if (isPublished) reportPeriod() else RETRY_PERIOD)
+        }
+    }
+
+    private fun reportPeriod(): Duration = CrashEvidence.publicationPeriod(state.hosts.value.size)
 
     /** Withdraws the announcement, so that other hosts send no more work to this one. */
     public fun withdraw() {
@@ -173,6 +190,8 @@
 
             is StoreEntry.Crashes -> receive(entry, isFullListing)
 
+            is StoreEntry.Limits -> receive(entry, isFullListing)
+
             is StoreEntry.Unreadable -> {
                 logWarning("store-entry-unreadable") {
                     "key" to entry.key
@@ -186,13 +205,25 @@
     private fun receive(entry: StoreEntry.Crashes, isFullListing: Boolean) {
         if (entry.host == state.profile.host) return
         val now = state.readClock()
-        // A report that is read as a change was written recently, whatever the clocks say.
-        val maximum = if (isFullListing) CrashEvidence.VALIDITY else MAXIMUM_REPORT_DELAY
-        val elapsed = entry.report.elapsed(now).coerceAtMost(maximum)
+        val elapsed = elapsed(entry.report.publishedAt, now, isFullListing)
         val evidence = entry.report.toEvidence(now, elapsed)
         state.updateCrashes { it.received(entry.host, evidence, now.monotonic) }
     }
 
+    private fun receive(entry: StoreEntry.Limits, isFullListing: Boolean) {
+        if (entry.host == state.profile.host) return
+        val now = state.readClock()
+        val elapsed = elapsed(entry.report.publishedAt, now, isFullListing)
+        state.shares.receive(entry.host, entry.report.toStatements(now, elapsed))
+    }
+
+    /** Time since a publication at [publishedAt], as far as the wall clocks of the hosts agree. */
+    private fun elapsed(publishedAt: Long, now: ClockReading, isFullListing: Boolean): Duration {
+        // A report that is read as a change was written recently, whatever the clocks say.
+        val maximum = if (isFullListing) CrashEvidence.VALIDITY else MAXIMUM_REPORT_DELAY
+        return (now.wallMillis - publishedAt).milliseconds.coerceIn(Duration.ZERO, maximum)
+    }
+
     private fun adopt(entry: StoreEntry.Configuration) {
         val before = state.configuration.value.version
         val after = state.configuration.update { it.adopted(entry.configuration) }.version
@@ -241,7 +272,7 @@
         val MAXIMUM_REPORT_DELAY = 1.seconds
 
         /** Longer than it takes to notice that the connections to a crashed target broke. */
-        val CRASH_GATHERING_TIME = 50.milliseconds
+        val GATHERING_TIME = 50.milliseconds
         val ANNOUNCEMENT_TTL = 6.seconds
         val ANNOUNCEMENT_RENEWAL_PERIOD = 2.seconds
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -12,7 +12,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.forwarding.TargetRecord
-import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.transport.BodyReader
 import org.sapphirelever.runtime.transport.Framing
 import org.sapphirelever.runtime.transport.HttpConnection
@@ -61,6 +60,7 @@
         use: suspend (OpenResponse) -> T
     ): CallOutcome<T> {
         if (!timeout.isPositive()) return CallOutcome.NotSent("no time left")
+        if (!state.shares.tryTake(target)) return CallOutcome.NotSent("request limit reached")
         val connection =
             try {
                 pool.acquire(target)
@@ -101,12 +101,7 @@
             val head = receive()
             val reply = protocol.decode(head)
             reply.load?.let { state.recordLoad(target.id, it) }
-            if (reply.requestLimit != RequestLimit.None) {
-                logEvent("limit-named") {
-                    "target" to target.id
-                    "limit" to reply.requestLimit
-                }
-            }
+            state.shares.record(target, reply.requestLimit)
             val framing = head.headers.responseFraming(request.head.method, head.status)
             val body = TrackedBody(connection.body(framing))
             val value = use(OpenResponse(head, reply, body))
