Keep the latest statement of each limited target instead of one for each host

Cause: each choice of a target searched the statements of all 62 hosts for each of 97 targets. Change: statements are merged when they arrive; the place of this host is computed once for a list of hosts.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetLimits.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetLimits.kt
@@ -14,7 +14,6 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
-import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.decisions.Decision
@@ -60,45 +59,42 @@
     }
 }
 
+/** Place of this host among [hosts] that take shares in a limit, counted from 0. */
+public data class SharePlace(public val place: Int, public val hosts: Int)
+
 /**
  * Known limits.
  *
+ * @property latest the last statement of each target, whichever host heard it
  * @property own statements that this host heard
- * @property others statements that other hosts heard
  * @property published what this host last published of [own]
  */
 public data class TargetLimits(
+    public val latest: LimitStatements = persistentMapOf(),
     public val own: LimitStatements = persistentMapOf(),
-    public val others: PersistentMap<HostId, LimitStatements> = persistentMapOf(),
     public val published: LimitStatements = persistentMapOf(),
     private val shares: PersistentMap<TargetIncarnation, RequestShare> = persistentMapOf()
 ) {
-    private val isEmpty: Boolean get() = own.isEmpty() && others.isEmpty()
-
-    /** Limit of [target] in requests a second, by the latest statement; null without a limit. */
-    public fun limitOf(target: TargetIncarnation, now: MonotonicTime): Double? {
-        if (isEmpty) return null
-        val statements = others.values.mapNotNull { it[target] } + listOfNotNull(own[target])
-        val latest = statements.maxByOrNull { it.heardAt } ?: return null
-        return latest.rate.takeIf { now - latest.heardAt < VALIDITY }
-    }
+    /** Limit of [target] in requests a second, or null without a limit. */
+    public fun limitOf(target: TargetIncarnation, now: MonotonicTime): Double? =
+        latest[target]?.takeIf { now - it.heardAt < VALIDITY }?.rate
 
     /** Records that [target] stated the limit [rate], or null for none. */
     public fun heard(target: TargetIncarnation, rate: Double?, now: MonotonicTime): TargetLimits {
         if (rate == null && limitOf(target, now) == null) return this
-        val recent = own.filterValues { now - it.heardAt < VALIDITY }.toPersistentMap()
-        return copy(own = recent.put(target, LimitStatement(rate, now)))
+        val statement = LimitStatement(rate, now)
+        return copy(
+            latest = latest.put(target, statement),
+            own = own.valid(now).put(target, statement)
+        )
     }
 
-    /** Replaces the statements that [host] heard. */
-    public fun received(
-        host: HostId,
-        statements: LimitStatements,
-        now: MonotonicTime
-    ): TargetLimits {
-        val recent =
-            others.filterValues { all -> all.values.any { now - it.heardAt < VALIDITY } }
-        return copy(others = recent.toPersistentMap().put(host, statements))
+    /** Adds what another host heard. */
+    public fun received(statements: LimitStatements, now: MonotonicTime): TargetLimits {
+        val newer = statements.filter { (target, statement) ->
+            latest[target]?.let { it.heardAt < statement.heardAt } ?: true
+        }
+        return copy(latest = latest.valid(now).putAll(newer))
     }
 
     /** Whether other hosts lack what this host heard. */
@@ -114,34 +110,20 @@
         }
     }
 
-    /**
-     * Time until this host may send a request to [target]. [order] supplies the hosts in the order
-     * in which they take a share; it is called only if there is a limit.
-     */
+    /** Time until this host, at [place], may send a request to [target]. */
     public fun wait(
         target: TargetIncarnation,
         now: MonotonicTime,
-        self: HostId,
-        order: () -> List<HostId>
-    ): Duration = share(target, now, self, order)?.wait(now) ?: ZERO
-
-    /** Share of this host in the limit of [target], in requests a second; null without a limit. */
-    public fun shareRate(
-        target: TargetIncarnation,
-        now: MonotonicTime,
-        self: HostId,
-        order: () -> List<HostId>
-    ): Double? = share(target, now, self, order)?.rate
+        place: () -> SharePlace
+    ): Duration = share(target, now, place)?.wait(now) ?: ZERO
 
     /** Takes one request to [target] from the share of this host; no action if none is left. */
     public fun take(
         target: TargetIncarnation,
         now: MonotonicTime,
-        self: HostId,
-        order: () -> List<HostId>
+        place: () -> SharePlace
     ): Decision<TargetLimits, Unit> {
-        val share = share(target, now, self, order) ?: return decide(Unit)
-        val filled = share.filled(now)
+        val filled = share(target, now, place)?.filled(now) ?: return decide(Unit)
         if (filled.tokens < 1.0) return copy(shares = shares.put(target, filled)).decide()
         val remaining = filled.copy(tokens = filled.tokens - 1.0)
         return Decision(copy(shares = shares.put(target, remaining)), persistentListOf(Unit))
@@ -151,25 +133,30 @@
     public fun started(
         target: TargetIncarnation,
         now: MonotonicTime,
-        self: HostId,
-        order: () -> List<HostId>
+        place: () -> SharePlace
     ): TargetLimits {
-        val share = share(target, now, self, order)
-        val kept = shares.filterKeys { it == target || limitOf(it, now) != null }.toPersistentMap()
-        return copy(shares = if (share == null) kept.remove(target) else kept.put(target, share))
+        val share = share(target, now, place)
+            ?: return if (target in shares) copy(shares = shares.remove(target)) else this
+        return copy(shares = shares.put(target, share))
     }
 
     private fun share(
         target: TargetIncarnation,
         now: MonotonicTime,
-        self: HostId,
-        order: () -> List<HostId>
+        place: () -> SharePlace
     ): RequestShare? {
         val limit = limitOf(target, now) ?: return null
-        val rate = shareOf(limit, order(), self)
+        val rate = shareOf(limit, place())
         return shares[target]?.filled(now)?.copy(rate = rate) ?: RequestShare(rate, 0.0, now)
     }
 
+    private fun LimitStatements.valid(now: MonotonicTime): LimitStatements =
+        if (size < PRUNED_SIZE) {
+            this
+        } else {
+            filterValues { now - it.heardAt < VALIDITY }.toPersistentMap()
+        }
+
     public companion object {
         /**
          * Time after which a limit lapses without an answer that confirms it. The hosts with a
@@ -180,16 +167,18 @@
         /** Shorter than [VALIDITY], so that a lost publication ends no limit. */
         private val REFRESH_PERIOD = 20.seconds
 
+        /** Number of statements at which outdated ones are removed. */
+        private const val PRUNED_SIZE = 256
+
         /** Relative change of a limit that other hosts need to know. */
         private const val NOTABLE_CHANGE = 0.1
     }
 }
 
-/** Share of [self] in [limit], in requests a second, if the hosts take shares in [order]. */
-public fun shareOf(limit: Double, order: List<HostId>, self: HostId): Double {
-    val position = order.indexOf(self)
-    val sharing = (limit / MINIMUM_SHARE).toInt().coerceIn(1, order.size.coerceAtLeast(1))
-    if (position !in 0 until sharing) return 0.0
+/** Share in [limit] of the host at [place], in requests a second. */
+public fun shareOf(limit: Double, place: SharePlace): Double {
+    val sharing = (limit / MINIMUM_SHARE).toInt().coerceIn(1, place.hosts.coerceAtLeast(1))
+    if (place.place !in 0 until sharing) return 0.0
     return USABLE_RATIO * maxOf(limit, TRIAL_RATE) / sharing
 }
 
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetLimitsTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetLimitsTest.kt
@@ -69,7 +69,7 @@
         val restarted = TargetIncarnation(TARGET.target, 2)
         assertNull(heard.limitOf(restarted, START), "restarted")
         val elsewhere = persistentMapOf(TARGET to LimitStatement(null, START + 2.seconds))
-        val informed = heard.received(HostId("e-1"), elsewhere, START + 3.seconds)
+        val informed = heard.received(elsewhere, START + 3.seconds)
         assertNull(informed.limitOf(TARGET, START + 3.seconds), "another host heard that it ended")
         val renewed = informed.heard(TARGET, 3.0, START + 4.seconds)
         assertEquals(3.0, renewed.limitOf(TARGET, START + 4.seconds), "named again")
@@ -95,16 +95,15 @@
 
     /** Times at which [self] sends requests if it always has some waiting. */
     private fun sendTimes(limit: Double, known: List<HostId>, self: HostId): List<Duration> {
-        if (shareOf(limit, known, self) == 0.0) return emptyList()
-        var limits = TargetLimits().heard(TARGET, limit, START).started(TARGET, START, self) {
-            known
-        }
+        val place = SharePlace(known.indexOf(self), known.size)
+        if (shareOf(limit, place) == 0.0) return emptyList()
+        var limits = TargetLimits().heard(TARGET, limit, START).started(TARGET, START) { place }
         return (0..DURATION_SECONDS * 50).map { it * 20.milliseconds }.flatMap { at ->
             val now = START + at
             // The last statement is repeated, as answers do.
             limits = limits.heard(TARGET, limit, now)
             generateSequence {
-                val decision = limits.take(TARGET, now, self) { known }
+                val decision = limits.take(TARGET, now) { place }
                 limits = decision.state
                 at.takeIf { decision.actions.isNotEmpty() }
             }.toList()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
@@ -13,8 +13,10 @@
 import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.LimitStatements
+import org.sapphirelever.decisions.forwarding.SharePlace
 import org.sapphirelever.decisions.forwarding.TargetLimits
 import org.sapphirelever.decisions.forwarding.assignmentOrder
+import org.sapphirelever.decisions.forwarding.shareOf
 import org.sapphirelever.decisions.rendezvousRank
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
@@ -27,7 +29,7 @@
     public val reportDue: Channel<Unit> = Channel(Channel.CONFLATED)
 
     @Volatile
-    private var orders = HostOrders(state.hosts.value)
+    private var places = HostPlaces(state.hosts.value)
 
     /** Records what [target] stated in an answer. */
     public fun record(target: TargetRecord, limit: RequestLimit) {
@@ -54,32 +56,32 @@
                 "target" to target.id
                 "limit" to rate
                 "before" to before
-                "share" to changed.rateOf(target)
+                "share" to rate?.let { shareOf(it, placeFor(target)) }
             }
         }
         if (changed.isPublicationDue(now)) reportDue.trySend(Unit)
     }
 
-    /** Replaces the statements that [host] heard. */
-    public fun receive(host: HostId, statements: LimitStatements) {
+    /** Adds the statements that another host heard. */
+    public fun receive(statements: LimitStatements) {
         val now = state.clock.now()
         val targets = state.directory.value.targets
         limits.update { all ->
             statements.keys
                 .mapNotNull { targets[it.target]?.record }
-                .fold(all.received(host, statements, now)) { limits, it -> limits.startedAt(it) }
+                .fold(all.received(statements, now)) { limits, it -> limits.startedAt(it) }
         }
     }
 
     /** Time until this host may send a request to [target]; infinite if it has no share. */
     public fun wait(target: TargetRecord): Duration = limits.value
-        .wait(target.incarnation, state.clock.now(), state.profile.host) { orderOf(target) }
+        .wait(target.incarnation, state.clock.now()) { placeFor(target) }
 
     /** Takes one request to [target] from the share of this host; false if none is left. */
     public fun tryTake(target: TargetRecord): Boolean {
         if (limits.value.limitOf(target.incarnation, state.clock.now()) == null) return true
         return limits.decide { all ->
-            all.take(target.incarnation, state.clock.now(), state.profile.host) { orderOf(target) }
+            all.take(target.incarnation, state.clock.now()) { placeFor(target) }
         }.isNotEmpty()
     }
 
@@ -88,30 +90,34 @@
         limits.update { it.copy(published = it.own) }.published
 
     private fun TargetLimits.startedAt(target: TargetRecord): TargetLimits =
-        started(target.incarnation, state.clock.now(), state.profile.host) { orderOf(target) }
+        started(target.incarnation, state.clock.now()) { placeFor(target) }
 
-    private fun TargetLimits.rateOf(target: TargetRecord): Double? =
-        shareRate(target.incarnation, state.clock.now(), state.profile.host) { orderOf(target) }
-
-    /** Hosts in the order in which they take a share in the limit of [target]. */
-    private fun orderOf(target: TargetRecord): List<HostId> {
+    /** Place of this host in the order in which hosts take a share in the limit of [target]. */
+    private fun placeFor(target: TargetRecord): SharePlace {
         val hosts = state.hosts.value
-        if (orders.hosts !== hosts) orders = HostOrders(hosts)
-        return orders.byTarget.computeIfAbsent(target.incarnation) {
-            val runsStages =
-                state.configuration.value.table?.service(target.service)?.batching != null
-            if (runsStages) {
-                // The stage calls of a service are all made by the first host of this order.
-                assignmentOrder(target.service, hosts)
-            } else {
-                hosts.keys.sortedByDescending { rendezvousRank(target.id.value, it.value) }
-            }
+        if (places.hosts !== hosts) places = HostPlaces(hosts)
+        return places.byTarget.computeIfAbsent(target.incarnation) {
+            SharePlace(order(target, hosts).indexOf(state.profile.host), hosts.size)
+        }
+    }
+
+    private fun order(
+        target: TargetRecord,
+        hosts: PersistentMap<HostId, HostAnnouncement>
+    ): List<HostId> {
+        val runsStages =
+            state.configuration.value.table?.service(target.service)?.batching != null
+        return if (runsStages) {
+            // The stage calls of a service are all made by the first host of this order.
+            assignmentOrder(target.service, hosts)
+        } else {
+            hosts.keys.sortedByDescending { rendezvousRank(target.id.value, it.value) }
         }
     }
 
-    /** Orders of [hosts], which are the same until a host joins or leaves. */
-    private class HostOrders(val hosts: PersistentMap<HostId, HostAnnouncement>) {
-        val byTarget = ConcurrentHashMap<TargetIncarnation, List<HostId>>()
+    /** Places of this host among [hosts], which are the same until a host joins or leaves. */
+    private class HostPlaces(val hosts: PersistentMap<HostId, HostAnnouncement>) {
+        val byTarget = ConcurrentHashMap<TargetIncarnation, SharePlace>()
     }
 }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -214,7 +214,7 @@
         if (entry.host == state.profile.host) return
         val now = state.readClock()
         val elapsed = elapsed(entry.report.publishedAt, now, isFullListing)
-        state.shares.receive(entry.host, entry.report.toStatements(now, elapsed))
+        state.shares.receive(entry.report.toStatements(now, elapsed))
     }
 
     /** Time since a publication at [publishedAt], as far as the wall clocks of the hosts agree. */
