Treat a stream that ends inside an event as broken off

Callers saw: a stream whose last event is incomplete, followed by the end of a complete answer. Cause: the rest after the last event was delivered and the answer was ended as complete, whenever the framing of the target was; a stream without length or chunks ends with its connection in any case. Evidence: new cases of ForwardingHostTest failed before ('stream that ends inside an event'). Change: such an end counts as a broken connection, so a resumable stream goes on at another target and any other is cut off towards the caller, who always gets chunks. Result: ForwardingHostTest passes.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StreamDelivery.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StreamDelivery.kt
@@ -4,6 +4,8 @@
  */
 package org.sapphirelever.runtime.forward
 
+import org.sapphirelever.runtime.transport.TornMessageException
+
 /** Writes events to [response]; [lastEventId] is the id of the last event that the caller has. */
 public class StreamDelivery(
     private val response: CallerResponse,
@@ -13,7 +15,10 @@
     public var lastEventId: String? = lastEventId
         private set
 
-    /** Writes the events of [source] as they arrive; [onEvents] runs before each write. */
+    /**
+     * Writes the events of [source] as they arrive; [onEvents] runs before each write. Throws
+     * [TornMessageException] if the stream ends inside an event, whatever its framing says.
+     */
     public suspend fun deliver(source: OpenResponse, onEvents: () -> Unit) {
         val splitter = EventSplitter()
         while (true) {
@@ -24,7 +29,8 @@
             write(source, events.map { it.bytes }.reduce { all, bytes -> all + bytes })
             lastEventId = events.lastOrNull { it.id != null }?.id ?: lastEventId
         }
-        if (!response.hasStarted || splitter.rest.isNotEmpty()) write(source, splitter.rest)
+        if (splitter.rest.isNotEmpty()) throw TornMessageException("stream ended inside an event")
+        if (!response.hasStarted) write(source, ByteArray(0))
         response.endStream()
     }
 
