Bound every part of a target's answer

Cause: header fields, trailer fields, interim responses, responses to other requests and an event had no bound. Ktor's parser reads header fields from a full buffer without suspending, so that no timeout ends it. The class of fault: a bound on time where the code never yields. Change: a head has at most 65,536 bytes with lines of 8,192, trailers 16,384, an event 1 MiB, a body that is not streamed 8 MiB, and at most 16 other responses come before the awaited one. Crossing a bound closes the connection, counts as a failure of the target, which is avoided for a time, and is logged as answer-oversized.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/EventStream.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/EventStream.kt
@@ -4,6 +4,7 @@
 package org.sapphirelever.runtime.forward
 
 import java.io.ByteArrayOutputStream
+import org.sapphirelever.runtime.transport.OversizedMessageException
 
 /** One complete event including its terminating blank line, with its id if it has one. */
 public class StreamEvent(public val bytes: ByteArray, public val id: String?)
@@ -15,7 +16,10 @@
     /** Bytes after the last complete event. */
     public val rest: ByteArray get() = pending.toByteArray()
 
-    /** Appends [part] and returns the events that it completes. */
+    /**
+     * Appends [part] and returns the events that it completes. Throws [OversizedMessageException]
+     * if the incomplete event after them is larger than any event should be.
+     */
     public fun add(part: ByteArray): List<StreamEvent> {
         pending.write(part)
         val bytes = pending.toByteArray()
@@ -31,6 +35,9 @@
             pending.reset()
             pending.write(bytes, start, bytes.size - start)
         }
+        if (pending.size() > MAXIMUM_EVENT_BYTES) {
+            throw OversizedMessageException("event", MAXIMUM_EVENT_BYTES.toLong())
+        }
         return events
     }
 
@@ -60,6 +67,8 @@
     }
 
     private companion object {
+        /** Many times the size of an event, which holds a few tokens. */
+        const val MAXIMUM_EVENT_BYTES = 1_048_576
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -34,9 +34,6 @@
 import org.sapphirelever.decisions.suspicion.RequestTrait
 import org.sapphirelever.decisions.suspicion.TraitBlock
 import org.sapphirelever.runtime.log.logEvent
-import org.sapphirelever.runtime.transport.BodyReader
-import org.sapphirelever.runtime.transport.TornMessageException
-import org.sapphirelever.runtime.transport.readWhole
 
 /** Outcome of a request, for the log and the metrics. */
 public data class ForwardOutcome(
@@ -614,9 +611,3 @@
         val NOT_READY_RETRY_AFTER = 200.milliseconds
     }
 }
-
-private suspend fun BodyReader.readWholeOrThrow(): ByteArray = readWhole(RESPONSE_LIMIT_BYTES)
-    ?: throw TornMessageException("answer exceeds $RESPONSE_LIMIT_BYTES bytes")
-
-/** Size limit of responses that are not streams, so that a target cannot exhaust the memory. */
-private const val RESPONSE_LIMIT_BYTES = 8_388_608
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -12,11 +12,14 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.transport.BodyReader
 import org.sapphirelever.runtime.transport.Framing
 import org.sapphirelever.runtime.transport.HttpConnection
+import org.sapphirelever.runtime.transport.OversizedMessageException
 import org.sapphirelever.runtime.transport.ResponseHead
 import org.sapphirelever.runtime.transport.encoded
+import org.sapphirelever.runtime.transport.readWhole
 import org.sapphirelever.runtime.transport.responseFraming
 
 /** Outcome of a call. */
@@ -73,6 +76,13 @@
         return try {
             withTimeoutOrNull(timeout) { exchange.run(use) }
                 ?: lost(target, "no answer in $timeout", broken = false)
+        } catch (failure: OversizedMessageException) {
+            logEvent("answer-oversized") {
+                "target" to target.id
+                "request" to id
+                "failure" to failure.message
+            }
+            lost(target, failure.message.orEmpty(), broken = false)
         } catch (failure: IOException) {
             lost(target, failure.message.orEmpty(), broken = true)
         } finally {
@@ -131,16 +141,16 @@
         }
 
         /** Reads the response to this request and discards responses to other requests. */
-        private suspend fun CoroutineScope.receive(): ResponseHead {
-            while (true) {
+        private suspend fun receive(): ResponseHead {
+            repeat(MAXIMUM_OTHER_RESPONSES) {
                 val head = connection.receiveResponse()
-                if (head.status in INTERIM_STATUSES) continue
+                if (head.status in INTERIM_STATUSES) return@repeat
                 val answeredId = protocol.decode(head).request
                 if (id == null || answeredId == null || answeredId == id) return head
                 val framing = head.headers.responseFraming(request.head.method, head.status)
-                val discarded = connection.body(framing)
-                while (discarded.next() != null) ensureActive()
+                connection.body(framing).readWholeOrThrow()
             }
+            throw OversizedMessageException("other responses", MAXIMUM_OTHER_RESPONSES.toLong())
         }
     }
 
@@ -159,6 +169,9 @@
 
     private companion object {
         val INTERIM_STATUSES = 100..199
+
+        /** Interim responses, and late ones to earlier requests, before the one that is awaited. */
+        const val MAXIMUM_OTHER_RESPONSES = 16
     }
 }
 
@@ -166,3 +179,10 @@
     if (body.isEmpty() && head.method in METHODS_WITHOUT_BODY) null else body.size
 
 private val METHODS_WITHOUT_BODY = setOf("GET", "HEAD", "DELETE", "OPTIONS")
+
+/** Reads the complete body; throws [OversizedMessageException] if it exceeds the size limit. */
+internal suspend fun BodyReader.readWholeOrThrow(): ByteArray = readWhole(RESPONSE_LIMIT_BYTES)
+    ?: throw OversizedMessageException("body", RESPONSE_LIMIT_BYTES.toLong())
+
+/** Size limit of responses that are not streams, so that a target cannot exhaust the memory. */
+private const val RESPONSE_LIMIT_BYTES = 8_388_608
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/BodyReader.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/BodyReader.kt
@@ -5,9 +5,7 @@
 package org.sapphirelever.runtime.transport
 
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.LineEnding
 import io.ktor.utils.io.readAvailable
-import io.ktor.utils.io.readLineStrict
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
@@ -93,22 +91,20 @@
     }
 
     private suspend fun skipTrailer() {
-        while (readLine().isNotEmpty()) continue
-    }
-
-    private suspend fun readLine(): String {
-        val text =
-            try {
-                input.readLineStrict(MAXIMUM_LINE_BYTES, LineEnding.Lenient)
-            } catch (cancelled: CancellationException) {
-                currentCoroutineContext().ensureActive()
-                throw TornMessageException("connection failed within a chunked body", cancelled)
-            } catch (failure: IOException) {
-                throw TornMessageException("connection failed within a chunked body", failure)
+        var bytes = 0
+        while (true) {
+            val line = readLine()
+            if (line.isEmpty()) return
+            bytes += line.length
+            if (bytes > MAXIMUM_TRAILER_BYTES) {
+                throw OversizedMessageException("trailer", MAXIMUM_TRAILER_BYTES.toLong())
             }
-        return text ?: throw TornMessageException("body ended before its last chunk")
+        }
     }
 
+    private suspend fun readLine(): String = input.readBoundedLine("line of a chunked body")
+        ?: throw TornMessageException("body ended before its last chunk")
+
     private fun Char.isHexadecimal(): Boolean =
         this in '0'..'9' || this in 'a'..'f' || this in 'A'..'F'
 
@@ -116,7 +112,6 @@
         /** A size with more digits exceeds the limit of any body. */
         val CHUNK_SIZE_DIGITS = 1..15
         const val HEXADECIMAL_RADIX = 16
-        const val MAXIMUM_LINE_BYTES = 8_192L
     }
 }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
@@ -10,6 +10,7 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.writeByteArray
 import java.io.Closeable
@@ -37,11 +38,15 @@
         }
     }
 
-    /** Receives the next response head; throws [TornMessageException] if none is received. */
+    /**
+     * Receives the next response head; throws [TornMessageException] if none is received and
+     * [OversizedMessageException] if it is larger than any target needs.
+     */
     public suspend fun receiveResponse(): ResponseHead = convertExceptions {
+        val head =
+            input.readHead() ?: throw TornMessageException("connection closed before a response")
         val parsed =
-            parseResponse(input)
-                ?: throw TornMessageException("connection closed before a response")
+            parseResponse(ByteReadChannel(head)) ?: throw TornMessageException("invalid response")
         parsed.use { ResponseHead(it.status, it.statusText.toString(), headersOf(it.headers)) }
     }
 
