Split the loop over targets and name the remaining constants of the new code

Cause: the linter found the loop of calls to targets too complex, and numbers and a header line that break the style. Change: one function for the choice, one for the conclusion of an attempt; named constants.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
@@ -148,11 +148,18 @@
         public const val MAXIMUM_SURVIVALS: Int = 8_192
         private const val DISPUTED_CRASHES = 2
 
+        /** Period at which hosts read the store. */
+        private val MINIMUM_PERIOD = 700.milliseconds
+        private val PERIOD_PER_HOST = 10.milliseconds
+
         /**
          * Shortest time between publications by one host without a new crash, so that all of
          * [hosts] together write at most about a hundred times a second.
          */
-        public fun publicationPeriod(hosts: Int): Duration = maxOf(700, hosts * 10).milliseconds
+        public fun publicationPeriod(hosts: Int): Duration = maxOf(
+            MINIMUM_PERIOD,
+            PERIOD_PER_HOST * hosts
+        )
     }
 }
 
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidenceTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidenceTest.kt
@@ -13,7 +13,7 @@
 import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.decisions.keys.Fingerprint
 
-/** Guards against crashes that go on, and against blocking what crashed requests shared by chance. */
+/** Guards against crashes that go on, and against blocking what requests shared by chance. */
 class CrashEvidenceTest {
     /** Crash of a target while it ran [requests], or, if [target] is null, their success. */
     private data class Event(val at: Duration, val target: String?, val requests: List<String>)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -241,7 +241,10 @@
             return limitPause(wait)
         }
 
-        private fun maximumLimitWait(): Duration = minOf(MAXIMUM_LIMIT_WAIT, remaining / 4)
+        private fun maximumLimitWait(): Duration = minOf(
+            MAXIMUM_LIMIT_WAIT,
+            remaining * LIMIT_WAIT_SHARE
+        )
 
         /** Pause of a caller that may find a share on another host before this one has any. */
         private fun limitPause(wait: Duration): Duration =
@@ -322,33 +325,37 @@
             while (true) {
                 val block = guard.blockOf(traits)
                 if (block != null && block.trait != trialOf?.trait) return failBlocked(block)
-                val target = choose()
-                if (target == null) {
-                    if (awaitLimit()) continue
-                    return failWithoutTarget()
-                }
+                val target = nextTarget() ?: return failWithoutTarget()
                 if (!remaining.isPositive()) return fail("deadline-passed")
-                when (val attempt = call(target)) {
-                    is AttemptOutcome.Done -> return attempt.outcome
+                conclude(call(target), target)?.let { return it }
+            }
+        }
 
-                    is AttemptOutcome.NotRun -> {
-                        refusals++
-                        excluded = excluded.add(target.id)
-                        if (!mayRetryAfterRefusal(attempt)) return fail(attempt.cause)
-                    }
+        /** The outcome of the request after [attempt], or null if another call is permitted. */
+        private suspend fun conclude(
+            attempt: AttemptOutcome,
+            target: TargetRecord
+        ): ForwardOutcome? {
+            if (attempt is AttemptOutcome.Done) return attempt.outcome
+            excluded = excluded.add(target.id)
+            if (attempt is AttemptOutcome.NotRun) {
+                refusals++
+                return if (mayRetryAfterRefusal(attempt)) null else fail(attempt.cause)
+            }
+            executions++
+            return when (attempt) {
+                is AttemptOutcome.MayHaveRun ->
+                    if (mayRepeat() && rerunStages()) null else fail(attempt.cause)
 
-                    is AttemptOutcome.MayHaveRun -> {
-                        executions++
-                        excluded = excluded.add(target.id)
-                        if (!mayRepeat() || !rerunStages()) return fail(attempt.cause)
-                    }
+                is AttemptOutcome.Failed -> if (mayRepeat()) null else deliver(attempt.response)
+            }
+        }
 
-                    is AttemptOutcome.Failed -> {
-                        executions++
-                        excluded = excluded.add(target.id)
-                        if (!mayRepeat()) return deliver(attempt.response)
-                    }
-                }
+        /** Chooses a target, and waits shortly if all are at their request limit. */
+        private suspend fun nextTarget(): TargetRecord? {
+            while (true) {
+                choose()?.let { return it }
+                if (!awaitLimit()) return null
             }
         }
 
@@ -577,6 +584,9 @@
 
         /** Short compared to the objectives of requests. */
         val MAXIMUM_LIMIT_WAIT = 500.milliseconds
+
+        /** Share of the remaining time that a request may wait for the limit of a target. */
+        const val LIMIT_WAIT_SHARE = 0.25
         val LIMIT_POLL_PERIOD = 20.milliseconds
 
         /** Other hosts may have a share in limits in which this one has none. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
@@ -69,7 +69,7 @@
         limits.update { all ->
             statements.keys
                 .mapNotNull { targets[it.target]?.record }
-                .fold(all.received(statements, now)) { limits, it -> limits.startedAt(it) }
+                .fold(all.received(statements, now)) { limits, target -> limits.startedAt(target) }
         }
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -1,7 +1,7 @@
 /*
- * Synchronisation of this host with the store: configuration, targets, other hosts and crash reports.
- * One call per period covers all of them, so that the number of calls to the store does not grow
- * with the number of targets.
+ * Synchronisation of this host with the store: configuration, targets, other hosts and reports. One
+ * call per period reads all of them, so that the number of calls to the store does not grow with
+ * the number of targets.
  */
 package org.sapphirelever.runtime.forward
 
@@ -100,7 +100,8 @@
         due: Channel<Unit>,
         publish: suspend () -> Unit
     ) {
-        for (signal in due) {
+        while (true) {
+            due.receive()
             // Events with the same cause, such as a crash, are published together.
             delay(GATHERING_TIME)
             val isPublished =
