Check for disputed successes without merging all crash reports

Cause: once crashes are known, every answered request merged the reports of all hosts to see whether its success contradicts them. Change: only crashes since the last publication are looked at, and none are merged. Result: CrashEvidenceTest passes; processor time not measured separately.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
@@ -93,11 +93,13 @@
      * publication could make them block one of them.
      */
     public fun isSurvivalDisputed(traits: List<RequestTrait>): Boolean {
-        if (own.crashes.isEmpty() && others.isEmpty()) return false
-        val recent = allCrashes().filter { crash -> publishedAt?.let { crash.at > it } ?: true }
+        if (traits.any { it.fingerprint in blocks }) return true
+        val recent = (others.values + own)
+            .flatMap { it.crashes.entries }
+            .filter { crash -> publishedAt?.let { crash.value.at > it } ?: true }
         return traits.any { trait ->
-            trait.fingerprint in blocks ||
-                recent.count { trait.fingerprint in it.traits } >= DISPUTED_CRASHES
+            val targets = recent.filter { trait.fingerprint in it.value.traits }.map { it.key }
+            targets.distinct().size >= DISPUTED_CRASHES
         }
     }
 
