Move the execution of a request, its refusals and its wait for limits to files of their own

Change: code is moved between files; the inner class gets its dependencies as a parameter. No behaviour changes.

--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
@@ -0,0 +1,59 @@
+/*
+ * Responses that this host makes itself, for requests that are not forwarded or got no answer.
+ */
+package org.sapphirelever.runtime.forward
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.sapphirelever.decisions.suspicion.TraitBlock
+import org.sapphirelever.runtime.log.logEvent
+
+internal const val SERVICE_UNAVAILABLE = 503
+internal const val BAD_GATEWAY = 502
+internal const val GATEWAY_TIMEOUT = 504
+
+/** Causes of refusals, for the log and the metrics. */
+internal const val TARGETS_LIMITED = "targets-limited"
+internal const val SUSPECTED_CRASH = "suspected-crash"
+
+/** Time after which the load is expected to have changed for a refused caller. */
+internal val RETRY_AFTER = 300.milliseconds
+
+/** Targets stop work at the deadline; their response arrives slightly later. */
+internal val RESPONSE_GRACE = 100.milliseconds
+
+/** Refuses requests. */
+internal class Refusals(
+    private val protocol: ForwardProtocol,
+    private val state: ForwardingState,
+    private val guard: CrashGuard
+) {
+    /** Refuses [request]; its caller may retry after [retryAfter]. */
+    suspend fun refuse(
+        request: CallerRequest,
+        response: CallerResponse,
+        status: Int,
+        cause: String,
+        retryAfter: Duration?
+    ): ForwardOutcome {
+        response.send(protocol.refusal(request.id, status, retryAfter), ByteArray(0))
+        return ForwardOutcome(status, cause)
+    }
+
+    /** Refuses a request that has not run and would probably crash a target. */
+    suspend fun refuseBlocked(
+        request: CallerRequest,
+        response: CallerResponse,
+        block: TraitBlock
+    ): ForwardOutcome {
+        val retryAfter = guard.retryAfter(block)
+        logEvent("request-blocked") {
+            "request" to request.id
+            "trait" to block.trait.value
+            "crashes" to block.crashes
+            "last-crash-age-ms" to (state.clock.now() - block.lastCrashAt).inWholeMilliseconds
+            "pause-ms" to retryAfter.inWholeMilliseconds
+        }
+        return refuse(request, response, SERVICE_UNAVAILABLE, SUSPECTED_CRASH, retryAfter)
+    }
+}
