Say that the publication period of crash evidence holds after a new crash as well

Cause: a doc comment and the design page said that a new crash is published at once; StoreFeed waits for the period after each publication.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
@@ -155,8 +155,8 @@
         private val PERIOD_PER_HOST = 10.milliseconds
 
         /**
-         * Shortest time between publications by one host without a new crash, so that all of
-         * [hosts] together write at most about a hundred times a second.
+         * Shortest time between publications by one host, so that all of [hosts] together write at
+         * most about a hundred times a second.
          */
         public fun publicationPeriod(hosts: Int): Duration = maxOf(
             MINIMUM_PERIOD,
