Keep a malformed message from ending more than its own connection

Callers saw: a request with `Pieces:` made the host allocate a list of that size. The OutOfMemoryError was not an Exception, left the task of the connection, failed the supervised child `callers`, and cut the connections of all callers; repeated, it ended the process.

Cause: counts were not checked, errors were told apart from exceptions at the connection, and the CBOR decoder throws more than SerializationException.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -20,6 +20,7 @@
 import org.sapphirelever.runtime.transport.CONTINUE
 import org.sapphirelever.runtime.transport.Framing
 import org.sapphirelever.runtime.transport.HttpConnection
+import org.sapphirelever.runtime.transport.OversizedMessageException
 import org.sapphirelever.runtime.transport.RequestHead
 import org.sapphirelever.runtime.transport.TornMessageException
 import org.sapphirelever.runtime.transport.readWhole
@@ -45,6 +46,8 @@
                     withTimeoutOrNull(limits.headerTimeout) { connection.receiveRequest() }
                 } catch (torn: TornMessageException) {
                     return reject(connection, BAD_REQUEST, torn.message.orEmpty())
+                } catch (oversized: OversizedMessageException) {
+                    return reject(connection, HEADER_TOO_LARGE, oversized.message.orEmpty())
                 } ?: return reject(connection, REQUEST_TIMEOUT, "header incomplete at timeout")
             if (!serve(connection, head)) return
         }
@@ -101,6 +104,7 @@
     private suspend fun receiveBody(connection: HttpConnection, head: RequestHead): ByteArray? {
         val framing = head.headers.requestFraming()
         if (framing == Framing.Empty) return NO_BODY
+        if (framing is Framing.Length && framing.bytes > limits.bodyBytes) return null
         if (head.headers.hasToken("Expect", "100-continue")) connection.write(CONTINUE)
         return withTimeoutOrNull(limits.idleTimeout) {
             connection.body(framing).readWhole(limits.bodyBytes)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
@@ -31,10 +31,15 @@
     /** Waits for the first byte of a message; false if the peer closes the connection instead. */
     public suspend fun awaitMessage(): Boolean = convertExceptions { input.awaitContent() }
 
-    /** Receives the next request head; null if the peer closed the connection before it. */
+    /**
+     * Receives the next request head; null if the peer closed the connection before its end. Throws
+     * [OversizedMessageException] if it is larger than any caller needs.
+     */
     public suspend fun receiveRequest(): RequestHead? = convertExceptions {
-        parseRequest(input)?.use { parsed ->
-            RequestHead(parsed.method.value, parsed.uri.toString(), headersOf(parsed.headers))
+        input.readHead()?.let { head ->
+            val parsed = parseRequest(ByteReadChannel(head))
+            parsed?.use { RequestHead(it.method.value, it.uri.toString(), headersOf(it.headers)) }
+                ?: throw TornMessageException("invalid request")
         }
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/Sockets.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/Sockets.kt
@@ -94,7 +94,8 @@
             logWarning("connection-failed") { "failure" to cancelled }
         } catch (_: IOException) {
             // The peer closed or reset the connection; the request itself was logged.
-        } catch (failure: Exception) {
+        } catch (failure: Throwable) {
+            // Errors too, such as a stack overflow, end only the connection that caused them.
             logWarning("connection-failed") { "failure" to failure }
         } finally {
             socket.close()
--- a/wire/src/main/kotlin/org/sapphirelever/wire/CrashReportMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/CrashReportMessage.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.cbor.CborLabel
 import org.sapphirelever.wire.peer.FieldLabel
 import org.sapphirelever.wire.peer.PeerCbor
+import org.sapphirelever.wire.peer.decodeCbor
 
 /**
  * A crash of [target].
@@ -41,4 +42,4 @@
 
 /** Decodes [bytes]; throws a [SerializationException] if they are no valid report. */
 public fun decodeCrashReport(bytes: ByteArray): CrashReportMessage =
-    PeerCbor.decodeFromByteArray(CrashReportMessage.serializer(), bytes)
+    decodeCbor(CrashReportMessage.serializer(), bytes)
--- a/wire/src/main/kotlin/org/sapphirelever/wire/LimitReportMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/LimitReportMessage.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.cbor.CborLabel
 import org.sapphirelever.wire.peer.FieldLabel
 import org.sapphirelever.wire.peer.PeerCbor
+import org.sapphirelever.wire.peer.decodeCbor
 
 /**
  * What [target] last stated.
@@ -40,4 +41,4 @@
 
 /** Decodes [bytes]; throws a [SerializationException] if they are no valid report. */
 public fun decodeLimitReport(bytes: ByteArray): LimitReportMessage =
-    PeerCbor.decodeFromByteArray(LimitReportMessage.serializer(), bytes)
+    decodeCbor(LimitReportMessage.serializer(), bytes)
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerCodec.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerCodec.kt
@@ -3,6 +3,7 @@
  */
 package org.sapphirelever.wire.peer
 
+import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
@@ -32,8 +33,23 @@
 }
 
 /** Decodes the [body] of a frame; throws a [SerializationException] if it is no valid message. */
-public fun decodePeerMessage(body: ByteArray): PeerMessage =
-    PeerCbor.decodeFromByteArray(messageSerializer, body)
+public fun decodePeerMessage(body: ByteArray): PeerMessage = decodeCbor(messageSerializer, body)
+
+/**
+ * Decodes [bytes]; throws a [SerializationException] if they are no valid message. The decoder
+ * itself fails with other exceptions as well, such as those of array accesses.
+ */
+internal fun <T> decodeCbor(serializer: DeserializationStrategy<T>, bytes: ByteArray): T = try {
+    PeerCbor.decodeFromByteArray(serializer, bytes)
+} catch (invalid: SerializationException) {
+    throw invalid
+} catch (invalid: RuntimeException) {
+    throw SerializationException("invalid CBOR", invalid)
+} catch (invalid: StackOverflowError) {
+    throw SerializationException("CBOR is nested too deeply", invalid)
+} catch (invalid: OutOfMemoryError) {
+    throw SerializationException("CBOR states too large a length", invalid)
+}
 
 /** Throws a [SerializationException] if a frame body of [size] bytes is empty or too large. */
 public fun requireFrameSize(size: Int) {
