Wait for changes of the store instead of polling it

Cause: each host asked every 700 ms with a wait of 1 ms.

Change: a host waits up to 1.7 s for the next change, over a connection of its own. An answer without changes confirms the configuration up to 1 s before its end, since a store that compacts its history notices changes late by that time. After changes the pause grows by 100 ms for each call in a row up to the old period. A watch that the store cuts is followed by a call without a wait before the store counts as lost. The wait is shorter where the age for ready hosts is, and a store that does not wait is asked every 700 ms as before. An unreadable entry is logged once for each reason, in at most 200 characters.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -23,7 +23,7 @@
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.SystemMonotonicClock
 import org.sapphirelever.decisions.forwarding.expectedCallingHosts
-import org.sapphirelever.decisions.forwarding.maximumConfigurationAge
+import org.sapphirelever.decisions.forwarding.maximumReadyAge
 import org.sapphirelever.decisions.supervision.RestartPolicy
 import org.sapphirelever.decisions.supervision.Strategy
 import org.sapphirelever.runtime.host.GracefulShutdown
@@ -62,17 +62,6 @@
         )
     private val metrics = ForwardingMetrics(state)
 
-    /**
-     * Age of the last confirmation of the configuration up to which the host reports ready. It
-     * never exceeds the age above which keys are refused, because a host that refuses keys must
-     * not receive callers.
-     */
-    private val maximumReadyAge: Duration
-        get() = minOf(
-            MAXIMUM_READY_AGE,
-            maximumConfigurationAge(state.profile.maximumRevocationDelay)
-        )
-
     /** Starts a graceful shutdown and withdraws the announcement of this host. */
     public fun signal() {
         feed.withdraw()
@@ -160,7 +149,8 @@
     /** HTTP status of the readiness endpoint. */
     private fun readiness(): Int {
         val configuration = state.configuration.value
-        val isFresh = configuration.age(state.readClock())?.let { it < maximumReadyAge } == true
+        val maximumAge = maximumReadyAge(state.profile.maximumRevocationDelay)
+        val isFresh = configuration.age(state.readClock())?.let { it < maximumAge } == true
         val hasTargets = state.directory.value.targets.isNotEmpty()
         val ready =
             shutdown.announcesReady && isFresh && configuration.table != null && hasTargets
@@ -199,12 +189,6 @@
         /** Part of the shutdown grace period that is reserved for the exit of the process. */
         val STOP_RESERVE = 500.milliseconds
 
-        /**
-         * Lower than the age above which keys are refused, so that the load balancer redirects
-         * callers before requests fail.
-         */
-        val MAXIMUM_READY_AGE = 3.seconds
-
         /**
          * The window is five minutes, because nested supervisors exceed their own restart limit
          * only after 26 s.
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -66,8 +66,11 @@
     /** Lists all entries. */
     public suspend fun entries(): StoreEntries
 
-    /** Entries changed after [revision], or null if the store has compacted that history. */
-    public suspend fun changes(revision: Long): StoreEntries?
+    /**
+     * Entries changed after [revision], or null if the store has compacted that history. If there
+     * are none, the store waits for the next change for up to [wait].
+     */
+    public suspend fun changes(revision: Long, wait: Duration): StoreEntries?
 
     /** Announces [host] under a new lease of [lifetime]. */
     public suspend fun announce(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -1,7 +1,7 @@
 /*
  * Synchronisation of this host with the store: configuration, targets, other hosts and reports. One
- * call per period reads all of them, so that the number of calls to the store does not grow with
- * the number of targets.
+ * call at a time waits for changes of all of them, so that the number of calls to the store does
+ * not grow with the number of targets.
  */
 package org.sapphirelever.runtime.forward
 
@@ -9,6 +9,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -17,38 +19,60 @@
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.ClockReading
 import org.sapphirelever.decisions.forwarding.TargetLimits
+import org.sapphirelever.decisions.forwarding.WatchCall
+import org.sapphirelever.decisions.forwarding.WatchSchedule
 import org.sapphirelever.decisions.forwarding.adopted
 import org.sapphirelever.decisions.forwarding.confirmed
 import org.sapphirelever.decisions.forwarding.listed
+import org.sapphirelever.decisions.forwarding.maximumReadyAge
 import org.sapphirelever.decisions.forwarding.put
 import org.sapphirelever.decisions.forwarding.removed
 import org.sapphirelever.decisions.forwarding.storeAnswered
 import org.sapphirelever.decisions.forwarding.storeLost
+import org.sapphirelever.decisions.forwarding.watchWait
 import org.sapphirelever.decisions.suspicion.CrashEvidence
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
 
-/** Polls [store], applies its changes to [state], and announces this host. */
+/** Follows [store], applies its changes to [state], and announces this host. */
 public class StoreFeed(private val store: ForwardingStore, private val state: ForwardingState) {
     private var revision: Long? = null
     private var isLost = false
 
+    /** Reasons of the unreadable entries that are already logged, by key. */
+    private var unreadable: PersistentMap<String, String> = persistentMapOf()
+
     private val withdrawn = CompletableDeferred<Unit>()
 
-    /** Polls the store until cancelled. */
+    /** Follows the store until cancelled. */
     public suspend fun follow() {
+        var schedule = WatchSchedule()
         while (true) {
-            val sentAt = state.readClock()
-            val answered =
+            val call =
                 try {
-                    poll()
-                    true
+                    watch()
                 } catch (failure: IOException) {
                     recordLoss(failure)
-                    false
+                    null
                 }
-            if (answered) recordAnswer(sentAt)
-            delay(if (answered) POLL_PERIOD else RETRY_PERIOD)
+            if (call != null) {
+                recordAnswer(call)
+                schedule = schedule.after(call)
+            }
+            delay(if (call != null) schedule.pause else RETRY_PERIOD)
+        }
+    }
+
+    /** Waits for changes. The store may cut a watch, so another call decides whether it is lost. */
+    private suspend fun watch(): WatchCall {
+        val age = state.configuration.value.age(state.readClock())
+        val wait = watchWait(age, maximumReadyAge(state.profile.maximumRevocationDelay))
+        if (isLost || revision == null) return read(Duration.ZERO)
+        return try {
+            read(wait)
+        } catch (failure: IOException) {
+            logEvent("watch-cut") { "failure" to failure.message }
+            read(Duration.ZERO)
         }
     }
 
@@ -136,18 +160,22 @@
         }
     }
 
-    private suspend fun poll() {
+    /** Reads the changes after the known revision, or everything if there is none. */
+    private suspend fun read(wait: Duration): WatchCall {
+        val sentAt = state.readClock()
         val known = revision
-        val changes = known?.let { store.changes(it) }
+        val changes = known?.let { store.changes(it, wait) }
         if (known != null && changes == null) logEvent("store-history-gone") { "after" to known }
         val received = changes ?: store.entries()
+        val answeredAt = state.readClock()
         apply(received)
         revision = maxOf(received.revision, known ?: 0)
+        return WatchCall(sentAt, answeredAt, wait, received.entries.isNotEmpty())
     }
 
-    private fun recordAnswer(sentAt: ClockReading) {
+    private fun recordAnswer(call: WatchCall) {
         state.directory.update { it.storeAnswered(state.clock.now()) }
-        state.configuration.update { it.confirmed(sentAt) }
+        state.configuration.update { it.confirmed(call.confirmedAt) }
         if (!isLost) return
         isLost = false
         logEvent("store-regained") { "revision" to revision }
@@ -194,15 +222,24 @@
             is StoreEntry.Limits -> receive(entry, isFullListing)
 
             is StoreEntry.Unreadable -> {
-                logWarning("store-entry-unreadable") {
-                    "key" to entry.key
-                    "reason" to entry.reason
-                }
+                reportUnreadable(entry)
                 entry.target?.let { removeTarget(it, "entry-unreadable") }
             }
         }
     }
 
+    /** Logs [entry] once, since its writer may repeat it as often as a target its record. */
+    private fun reportUnreadable(entry: StoreEntry.Unreadable) {
+        val reason = entry.reason.take(LOGGED_CHARACTERS)
+        if (unreadable[entry.key] == reason) return
+        if (unreadable.size >= MAXIMUM_UNREADABLE) unreadable = persistentMapOf()
+        unreadable = unreadable.put(entry.key, reason)
+        logWarning("store-entry-unreadable") {
+            "key" to entry.key.take(LOGGED_CHARACTERS)
+            "reason" to reason
+        }
+    }
+
     private fun receive(entry: StoreEntry.Crashes, isFullListing: Boolean) {
         if (entry.host == state.profile.host) return
         val now = state.readClock()
@@ -262,18 +299,17 @@
     }
 
     private companion object {
-        /**
-         * The strictest bound for noticing a changed configuration or a leaving target is 2 s; the
-         * period leaves time for a retry within it.
-         */
-        val POLL_PERIOD = 700.milliseconds
         val RETRY_PERIOD = 250.milliseconds
 
-        /** A report is read within a poll period, plus the time of two calls. */
+        /** A report is read within the longest pause between calls, plus the time of two calls. */
         val MAXIMUM_REPORT_DELAY = 1.seconds
 
         /** Longer than it takes to notice that the connections to a crashed target broke. */
         val GATHERING_TIME = 50.milliseconds
+        const val LOGGED_CHARACTERS = 200
+
+        /** Unreadable entries that are remembered. */
+        const val MAXIMUM_UNREADABLE = 1_000
         val ANNOUNCEMENT_TTL = 6.seconds
         val ANNOUNCEMENT_RENEWAL_PERIOD = 2.seconds
     }
