Give no work to targets that were gone before an outage of the store

Cause: while the store cannot be reached, every missing target counted as usable, also one whose record had been removed while the store answered. Another process had taken over the addresses and refused at once with 421; as that is a complete answer, the host counted it as a success, and the target without any load got the next call, too.

Change: only a record that went missing since the outage was noticed may belong to a live target, and a target that answers 421 counts as failed until its cooldown ends.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
@@ -24,17 +24,23 @@
  *
  * @property storeUnavailable whether the last call to the store failed
  * @property recoveredAt time at which the store answered again after an outage
+ * @property outageSince time at which that outage, or the present one, was noticed
  */
 public data class TargetDirectory(
     public val targets: PersistentMap<TargetId, ListedTarget> = persistentMapOf(),
     public val storeUnavailable: Boolean = false,
-    public val recoveredAt: MonotonicTime? = null
+    public val recoveredAt: MonotonicTime? = null,
+    public val outageSince: MonotonicTime? = null
 ) {
-    private fun isRecovering(now: MonotonicTime): Boolean =
+    internal fun isRecovering(now: MonotonicTime): Boolean =
         storeUnavailable || recoveredAt?.let { now - it < RECOVERY_PERIOD } == true
 
     private fun ListedTarget.isUsable(now: MonotonicTime): Boolean =
-        !record.leaving && (missingSince == null || isRecovering(now))
+        !record.leaving && (missingSince == null || mayHaveExpired(missingSince, now))
+
+    /** Whether an outage, and not the end of the target, may be why a record is missing. */
+    private fun mayHaveExpired(missingSince: MonotonicTime, now: MonotonicTime): Boolean =
+        isRecovering(now) && outageSince?.let { missingSince >= it } == true
 
     /** Targets of [service] that may take new work. */
     public fun usable(service: ServiceName, now: MonotonicTime): List<TargetRecord> = targets.values
@@ -69,7 +75,8 @@
 }
 
 /** Marks the store as unavailable. */
-public fun TargetDirectory.storeLost(): TargetDirectory = copy(storeUnavailable = true)
+public fun TargetDirectory.storeLost(now: MonotonicTime): TargetDirectory =
+    copy(storeUnavailable = true, outageSince = if (isRecovering(now)) outageSince else now)
 
 /** Marks the store as available and removes records that have been missing for long. */
 public fun TargetDirectory.storeAnswered(now: MonotonicTime): TargetDirectory {
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectoryTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectoryTest.kt
@@ -25,25 +25,51 @@
             Case("removed", both.removed(TargetId("a"), at(0)), 0, setOf("b")),
             Case(
                 "removed during an outage",
-                both.storeLost().removed(TargetId("a"), at(0)),
+                both.storeLost(at(0)).removed(TargetId("a"), at(0)),
                 10_000,
                 setOf("a", "b")
             ),
             Case(
                 "missing right after the outage",
-                both.storeLost().storeAnswered(at(1_000)).removed(TargetId("a"), at(1_000)),
+                both.storeLost(at(0)).storeAnswered(at(1_000)).removed(TargetId("a"), at(1_000)),
                 2_999,
                 setOf("a", "b")
             ),
             Case(
                 "still missing two seconds after the outage",
-                both.storeLost().storeAnswered(at(1_000)).removed(TargetId("a"), at(1_000)),
+                both.storeLost(at(0)).storeAnswered(at(1_000)).removed(TargetId("a"), at(1_000)),
                 3_000,
                 setOf("b")
             ),
+            Case(
+                "removed before the outage",
+                both.removed(TargetId("a"), at(0)).storeLost(at(1_000)),
+                1_000,
+                setOf("b")
+            ),
+            Case(
+                "missing since an earlier outage",
+                both
+                    .storeLost(at(0))
+                    .storeAnswered(at(1_000))
+                    .removed(TargetId("a"), at(1_000))
+                    .storeLost(at(9_000)),
+                9_000,
+                setOf("b")
+            ),
+            Case(
+                "missing when an outage goes on",
+                both
+                    .storeLost(at(0))
+                    .storeAnswered(at(1_000))
+                    .removed(TargetId("a"), at(1_000))
+                    .storeLost(at(2_000)),
+                9_000,
+                setOf("a", "b")
+            ),
             Case(
                 "leaving during an outage",
-                both.put(target("a", leaving = true)).storeLost(),
+                both.put(target("a", leaving = true)).storeLost(at(0)),
                 0,
                 setOf("b")
             ),
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
@@ -77,6 +77,7 @@
  *
  * @property request id of the request that it answers, if stated
  * @property notRun whether the target states that it did not run the request
+ * @property isMisdirected whether another process answered at the address of the target
  * @property sealed whether the response carries the target's signature
  * @property hasContentEncoding whether a content encoding is applied to the body
  * @property idleTimeout time for which the target keeps an idle connection open
@@ -89,6 +90,7 @@
     public val hasContentEncoding: Boolean,
     public val load: ReportedLoad?,
     public val idleTimeout: Duration?,
+    public val isMisdirected: Boolean = false,
     public val requestLimit: RequestLimit = RequestLimit.None
 ) {
     public val isSuccess: Boolean get() = status in SUCCESS
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -182,7 +182,7 @@
     }
 
     private fun recordLoss(failure: IOException) {
-        state.directory.update { it.storeLost() }
+        state.directory.update { it.storeLost(state.clock.now()) }
         if (isLost) return
         isLost = true
         logWarning("store-lost") { "failure" to failure.message }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -119,7 +119,12 @@
             isReusable = isFinished && framing != Framing.UntilClose && !head.closesConnection
             idleTimeout = reply.idleTimeout
             coroutineContext.cancelChildren()
-            state.recordSuccess(target.id)
+            // The target is gone, and its quick answers would attract all work that waits.
+            if (reply.isMisdirected) {
+                state.recordFailure(target.id)
+            } else {
+                state.recordSuccess(target.id)
+            }
             CallOutcome.Completed(value)
         }
 
