Accept an answer without an identity only where it cannot be an earlier one

Other operators saw a second copy of an answer, or of a refusal, reach the next request on a kept connection. Here it could happen in two ways, both shown by RepeatedAnswerTest against a target that repeats its last answer on the connection: - Answers to stage calls carry no identity, so a repeated one gave its results to another request ("id3 got Inputs 127.0.0.1:1/id2-3,..."). - A repeated refusal without the identity of its request counted as the answer to the next one, which then ran at two targets (id2 = 2).

Cause: an answer without an identity was matched by its order alone.

Change: an answer to a request counts without an identity only on a connection that has carried no other call; otherwise the request may have run. An answer to a stage call is identified by its handles, which no earlier answer within the lifetime of a result may have held; after an answer without a handle the connection is closed. Answers with an identity were skipped correctly before.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
@@ -93,6 +93,9 @@
 
         private val heldResults = ConcurrentHashMap<String, StageResult>()
 
+        /** Handles of the answers within the lifetime of a result, also of released ones. */
+        private val answeredHandles: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
         suspend fun execute(stage: StagePieces, limits: BatchLimits): List<StageResult> {
             val pieces =
                 stage.orders.map { order ->
@@ -200,10 +203,15 @@
             val outcome =
                 calls.call(target, request, null, timeout) { response ->
                     val body = response.body.readWhole(RESULTS_LIMIT_BYTES)
-                    response.reply to body
+                    val results = results(response.reply, body, pieces.size)
+                    // An answer without a new handle may be written again and be mistaken for
+                    // the answer to the next call.
+                    response.isIdentified = results.any { it is PieceResult.Made }
+                    results
                 }
             val took = state.clock.now() - now
             val results = results(outcome, pieces.size)
+            results.filterIsInstance<PieceResult.Made>().forEach { answeredHandles += it.handle }
             if (took > expected * SLOW_FACTOR) {
                 state.recordSlowCall(target.id)
             } else if (results.any { it is PieceResult.Made }) {
@@ -225,24 +233,26 @@
         }
 
         private fun results(
-            outcome: CallOutcome<Pair<TargetReply, ByteArray?>>,
+            outcome: CallOutcome<List<PieceResult>>,
             count: Int
         ): List<PieceResult> = when (outcome) {
             is CallOutcome.NotSent -> failed(outcome.reason, count, sent = false)
-
             is CallOutcome.Lost -> failed(outcome.reason, count)
+            is CallOutcome.Completed -> outcome.value
+        }
 
-            is CallOutcome.Completed -> {
-                val (reply, body) = outcome.value
-                val decoded = if (reply.isSuccess) {
-                    body?.let {
-                        protocol.stageResults(it, count)
-                    }
-                } else {
-                    null
-                }
-                decoded ?: failed("status ${reply.status}", count)
-            }
+        private fun results(
+            reply: TargetReply,
+            body: ByteArray?,
+            count: Int
+        ): List<PieceResult> {
+            val decoded =
+                body?.takeIf { reply.isSuccess }?.let { protocol.stageResults(it, count) }
+                    ?: return failed("status ${reply.status}", count)
+            val handles = decoded.filterIsInstance<PieceResult.Made>().map { it.handle }
+            val isRepeated =
+                handles.any { it in answeredHandles } || handles.distinct().size < handles.size
+            return if (isRepeated) failed("repeated answer", count) else decoded
         }
 
         private fun failed(reason: String, count: Int, sent: Boolean = true): List<PieceResult> =
@@ -286,6 +296,7 @@
                 // The producer drops the result itself when its lifetime ends.
                 delay(limits.resultLifetime)
                 free(handle)
+                answeredHandles.remove(handle)
             }
             return made
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
@@ -35,8 +35,11 @@
         releases.groupBy { it.result.producer }.forEach { (producer, released) ->
             scope.launch {
                 val request = protocol.release(producer.id, released.map { it.result.handle })
+                // The answer says nothing of its request; one that is written again is rejected as
+                // the answer to a call for results.
                 calls.call(producer, request, null, CALL_TIMEOUT) {
                     it.body.readWhole(RESPONSE_LIMIT_BYTES)
+                    it.isIdentified = it.reply.isSuccess
                 }
                 released.forEach { it.onReleased() }
             }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -18,6 +18,7 @@
 import org.sapphirelever.runtime.transport.HttpConnection
 import org.sapphirelever.runtime.transport.OversizedMessageException
 import org.sapphirelever.runtime.transport.ResponseHead
+import org.sapphirelever.runtime.transport.TornMessageException
 import org.sapphirelever.runtime.transport.encoded
 import org.sapphirelever.runtime.transport.readWhole
 import org.sapphirelever.runtime.transport.responseFraming
@@ -37,11 +38,17 @@
     public data class Completed<T>(public val value: T) : CallOutcome<T>
 }
 
-/** A response that matches its request and whose body is still to be read. */
+/**
+ * A response whose body is still to be read.
+ *
+ * @property isIdentified whether the response is certain to answer its request. Otherwise the
+ *   connection is reused only if the reader of the body sets this.
+ */
 public class OpenResponse(
     public val head: ResponseHead,
     public val reply: TargetReply,
-    public val body: BodyReader
+    public val body: BodyReader,
+    public var isIdentified: Boolean
 )
 
 /** Makes calls over the connections of [pool]. */
@@ -52,7 +59,8 @@
 ) {
     /**
      * Sends [request] to [target] and passes the response to [use]. If [id] is given, responses to
-     * other requests are skipped. The call times out after [timeout]; its connection is closed then
+     * other requests are skipped, and a response without an identity counts only on a connection
+     * that has carried no other call: a target may write an earlier response once more. The call times out after [timeout]; its connection is closed then
      * and on cancellation.
      */
     public suspend fun <T> call(
@@ -64,7 +72,7 @@
     ): CallOutcome<T> {
         if (!timeout.isPositive()) return CallOutcome.NotSent("no time left")
         if (!state.shares.tryTake(target)) return CallOutcome.NotSent("request limit reached")
-        val connection =
+        val acquired =
             try {
                 pool.acquire(target)
             } catch (failure: IOException) {
@@ -72,7 +80,7 @@
                 return CallOutcome.NotSent(failure.message.orEmpty())
             }
         state.updateView(target.id) { it.copy(outstanding = it.outstanding + 1) }
-        val exchange = Exchange(connection, target, request, id)
+        val exchange = Exchange(acquired, target, request, id)
         return try {
             withTimeoutOrNull(timeout) { exchange.run(use) }
                 ?: lost(target, "no answer in $timeout", broken = false)
@@ -98,11 +106,12 @@
 
     /** One request and its response on [connection]. */
     private inner class Exchange(
-        private val connection: HttpConnection,
+        private val acquired: AcquiredConnection,
         private val target: TargetRecord,
         private val request: TargetRequest,
         private val id: String?
     ) {
+        private val connection = acquired.connection
         private var isReusable = false
         private var idleTimeout: Duration? = null
 
@@ -114,8 +123,9 @@
             state.shares.record(target, reply.requestLimit)
             val framing = head.headers.responseFraming(request.head.method, head.status)
             val body = TrackedBody(connection.body(framing))
-            val value = use(OpenResponse(head, reply, body))
-            val isFinished = body.isComplete && sending.isCompleted
+            val response = OpenResponse(head, reply, body, id != null && reply.request == id)
+            val value = use(response)
+            val isFinished = body.isComplete && sending.isCompleted && response.isIdentified
             isReusable = isFinished && framing != Framing.UntilClose && !head.closesConnection
             idleTimeout = reply.idleTimeout
             coroutineContext.cancelChildren()
@@ -151,7 +161,11 @@
                 val head = connection.receiveResponse()
                 if (head.status in INTERIM_STATUSES) return@repeat
                 val answeredId = protocol.decode(head).request
-                if (id == null || answeredId == null || answeredId == id) return head
+                if (id == null || answeredId == id) return head
+                if (answeredId == null) {
+                    if (!acquired.isReused) return head
+                    throw TornMessageException("response without identity on a used connection")
+                }
                 val framing = head.headers.responseFraming(request.head.method, head.status)
                 connection.body(framing).readWholeOrThrow()
             }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetPool.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetPool.kt
@@ -26,18 +26,27 @@
 /** An idle connection that may be reused until [expiresAt]. */
 private data class IdleConnection(val connection: HttpConnection, val expiresAt: MonotonicTime)
 
+/** A connection for one call; [isReused] if it has carried other calls. */
+public data class AcquiredConnection(
+    public val connection: HttpConnection,
+    public val isReused: Boolean
+)
+
 public class TargetPool(private val sockets: Sockets, private val clock: MonotonicClock) {
     private val idle =
         StateCell<PersistentMap<TargetId, PersistentList<IdleConnection>>>(persistentMapOf())
 
     /** Reuses an idle connection to [target] or opens one; throws [IOException] on failure. */
-    public suspend fun acquire(target: TargetRecord): HttpConnection {
+    public suspend fun acquire(target: TargetRecord): AcquiredConnection {
         while (true) {
             val entry = takeIdle(target.id) ?: break
-            if (entry.connection.isIdle && clock.now() < entry.expiresAt) return entry.connection
+            if (entry.connection.isIdle && clock.now() < entry.expiresAt) {
+                return AcquiredConnection(entry.connection, isReused = true)
+            }
             entry.connection.close()
         }
-        return sockets.connect(target.endpoint, CONNECT_TIMEOUT)
+        val opened = sockets.connect(target.endpoint, CONNECT_TIMEOUT)
+        return AcquiredConnection(opened, isReused = false)
     }
 
     /**
