Avoid a peer that is lost again and again for longer

Change: the pause before a lost peer is tried again doubles with each loss that follows the one before within its pause and 5 s, from 1 s up to 8 s.

--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PeerLivenessTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PeerLivenessTest.kt
@@ -57,4 +57,28 @@
             assertEquals(case.silent, case.liveness.isSilent(at(case.now)), case.name)
         }
     }
+
+    private data class AvoidanceCase(
+        val name: String,
+        val lossesAt: List<Long>,
+        val pauseMillis: Long
+    )
+
+    /** Guards against work that is made again and again because a slow host gets it back at once. */
+    private val avoidanceCases =
+        listOf(
+            AvoidanceCase("one loss", listOf(0), 1_000),
+            AvoidanceCase("lost again soon after the pause", listOf(0, 1_500), 2_000),
+            AvoidanceCase("lost three times", listOf(0, 1_500, 5_000), 4_000),
+            AvoidanceCase("lost all the time", (0L..60_000L step 4_000).toList(), 8_000),
+            AvoidanceCase("sound for long in between", listOf(0, 1_500, 20_000), 1_000)
+        )
+
+    @Test
+    fun `a peer that is lost again and again is avoided for longer`() {
+        avoidanceCases.forEach { case ->
+            val avoidance = case.lossesAt.fold(PeerAvoidance()) { all, time -> all.lost(at(time)) }
+            assertEquals(case.pauseMillis, avoidance.pause.inWholeMilliseconds, case.name)
+        }
+    }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PeerPieceClient.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PeerPieceClient.kt
@@ -6,6 +6,7 @@
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentMap
@@ -24,6 +25,7 @@
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.forwarding.PeerAvoidance
 import org.sapphirelever.decisions.forwarding.PeerLiveness
 import org.sapphirelever.decisions.forwarding.WaitEstimate
 import org.sapphirelever.decisions.forwarding.answered
@@ -78,6 +80,7 @@
         private val pending = ConcurrentHashMap<Long, CompletableDeferred<PiecesMade>>()
 
         private val liveness = StateCell(PeerLiveness())
+        private val avoidance = StateCell(PeerAvoidance())
 
         @Volatile
         private var connection: PeerConnection? = null
@@ -215,23 +218,25 @@
         private fun avoid(failure: Throwable) {
             if (isAvoided) return
             isAvoided = true
+            val pause = avoidance.update { it.lost(state.clock.now()) }.pause
             logEvent("peer-avoided") {
                 "peer" to owner
+                "pause-ms" to pause.inWholeMilliseconds
                 "failure" to failure.message
             }
-            scope.launch { reconnect() }
+            scope.launch { reconnect(pause) }
         }
 
         /** Reconnects in the background, so that no request waits for an unreachable host. */
-        private suspend fun reconnect() {
+        private suspend fun reconnect(pause: Duration) {
+            delay(pause)
             while (owner in state.hosts.value) {
-                delay(RECONNECT_PERIOD)
                 try {
                     connect()
                     break
                 } catch (_: PeerUnavailableException) {
                     // Still unreachable; the loss of the connection is already logged.
-                    continue
+                    delay(RECONNECT_PERIOD)
                 }
             }
             isAvoided = false
