--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PeerLivenessTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/PeerLivenessTest.kt
@@ -64,7 +64,7 @@
         val pauseMillis: Long
     )
 
-    /** Guards against work that is made again and again because a slow host gets it back at once. */
+    /** Guards against work that is made repeatedly because a slow host gets it back at once. */
     private val avoidanceCases =
         listOf(
             AvoidanceCase("one loss", listOf(0), 1_000),
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreWatchTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreWatchTest.kt
@@ -16,7 +16,7 @@
         val confirmedAfter: Int
     )
 
-    /** Guards against a configuration that counts as confirmed later than the store looked at it. */
+    /** Guards against a configuration that counts as confirmed before the store looked at it. */
     @Test
     fun `an answer confirms no more than the store is certain to have seen`() {
         listOf(
@@ -59,7 +59,7 @@
         val pause: Int
     )
 
-    /** Guards against calls that become more with the changes that hosts make, or without a wait. */
+    /** Guards against calls whose number grows with the changes of others, or without a wait. */
     @Test
     fun `the rate of calls is bounded`() {
         listOf(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
@@ -241,11 +241,7 @@
             is CallOutcome.Completed -> outcome.value
         }
 
-        private fun results(
-            reply: TargetReply,
-            body: ByteArray?,
-            count: Int
-        ): List<PieceResult> {
+        private fun results(reply: TargetReply, body: ByteArray?, count: Int): List<PieceResult> {
             val decoded =
                 body?.takeIf { reply.isSuccess }?.let { protocol.stageResults(it, count) }
                     ?: return failed("status ${reply.status}", count)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -59,9 +59,9 @@
 ) {
     /**
      * Sends [request] to [target] and passes the response to [use]. If [id] is given, responses to
-     * other requests are skipped, and a response without an identity counts only on a connection
-     * that has carried no other call: a target may write an earlier response once more. The call times out after [timeout]; its connection is closed then
-     * and on cancellation.
+     * other requests are skipped, and one without an identity counts only on a connection that has
+     * carried no other call: a target may write an earlier response once more. The call times out
+     * after [timeout]; its connection is closed then and on cancellation.
      */
     public suspend fun <T> call(
         target: TargetRecord,
