Wait until a stopped target refuses connections in StreamingCallTest

The test did not have the state that its name states.

Change: the test waits until a connection is refused; its assertions are the same.

--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
@@ -14,6 +14,8 @@
 import io.ktor.server.routing.routing
 import io.ktor.utils.io.writeStringUtf8
 import java.io.IOException
+import java.net.ConnectException
+import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -27,6 +29,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.encodeToString
@@ -241,11 +244,24 @@
         val port = server.engine.resolvedConnectors().single().port
         assertTrue(client.reachable(call(port).target))
         server.stop(0, 0)
+        awaitRefusal(port)
         val result = client.call(call(port))
         assertEquals(AttemptResult.NotRun(ErrorCode.TARGET_LOST), result.result)
         assertEquals(false, client.reachable(call(port).target))
     }
 
+    /** Waits until [port] has no listener; a connection that it still accepts may carry a call. */
+    private suspend fun awaitRefusal(port: Int) {
+        while (true) {
+            try {
+                Socket("127.0.0.1", port).close()
+            } catch (_: ConnectException) {
+                return
+            }
+            delay(1)
+        }
+    }
+
     private suspend fun check(case: Case, result: CallResult, seen: List<String>) {
         val expected = case.expected
         if (expected == null) {
