--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/target/StreamingCallTest.kt
@@ -27,9 +27,9 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.encodeToString
