--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreWatch.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreWatch.kt
@@ -56,8 +56,8 @@
     public val pause: Duration = Duration.ZERO
 ) {
     /**
-     * The schedule after [call]. The pause grows while changes keep coming, so that a host never
-     * calls more often than by polling, however many changes other hosts make.
+     * The schedule after [call]. The pause grows while changes keep coming, so that lasting changes
+     * of other hosts cost one call in each [LONGEST_PAUSE], however many there are.
      */
     public fun after(call: WatchCall): WatchSchedule = when {
         call.hasChanges -> {
