--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -37,6 +37,12 @@
         });
     }
 
+    /** Reports that this server leaves; it goes on serving. */
+    void leave(Store store) {
+        leaving = true;
+        store.put("servers/" + id, entry(1_000_000));
+    }
+
     String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -24,8 +24,9 @@
         }
     }
 
-    private record Event(String key, long rev, String json) {}
+    private record Event(String key, long rev, String json, long at) {}
 
+    private static final int HISTORY_MILLIS = 20_000;
     private static final Pattern CONDITION =
             Pattern.compile("\\{\"key\":\"([^\"]*)\",\"rev\":([0-9]+)\\}");
     private static final Pattern WRITE =
@@ -37,6 +38,10 @@
     private final ServerSocket server;
     private long revision = 100;
     private long lastLease = 1000;
+    private long forgotten;
+
+    /** Bytes that a connection carries in a millisecond, as over the link of a machine; 0: all. */
+    volatile int bytesPerMilli;
 
     Store() throws IOException {
         server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
@@ -56,7 +61,7 @@
         if (items.remove(key) == null) return;
         revision++;
         events.add(new Event(key, revision,
-                "{\"key\":\"" + key + "\",\"rev\":" + revision + ",\"deleted\":true}"));
+                "{\"key\":\"" + key + "\",\"rev\":" + revision + ",\"deleted\":true}", Lab.now()));
         notifyAll();
     }
 
@@ -74,7 +79,7 @@
         Item before = items.get(key);
         Item item = new Item(key, value, revision, before == null ? revision : before.created, lease);
         items.put(key, item);
-        events.add(new Event(key, revision, item.json()));
+        events.add(new Event(key, revision, item.json(), Lab.now()));
         notifyAll();
         return revision;
     }
@@ -126,14 +131,25 @@
                 byte[] body = answer[1].getBytes(StandardCharsets.UTF_8);
                 out.write(Http.bytes("HTTP/1.1 " + answer[0] + " X\r\nContent-Type: application/json\r\n"
                         + "Content-Length: " + body.length + "\r\n\r\n"));
-                out.write(body);
-                out.flush();
+                send(out, body);
             }
         } catch (IOException closed) {
             // The caller closed its connection.
         }
     }
 
+    private void send(OutputStream out, byte[] body) throws IOException {
+        int rate = bytesPerMilli;
+        long begun = Lab.now();
+        for (int sent = 0; sent < body.length; ) {
+            int count = rate == 0 ? body.length : Math.min(4_096, body.length - sent);
+            out.write(body, sent, count);
+            out.flush();
+            sent += count;
+            if (rate > 0) Lab.sleep(begun + sent / rate - Lab.now());
+        }
+    }
+
     private String[] answer(Http.Message call) {
         String target = call.target();
         String path = target.contains("?") ? target.substring(0, target.indexOf('?')) : target;
@@ -179,6 +195,10 @@
         long after = Long.parseLong(query.get("after"));
         long end = Lab.now() + Long.parseLong(query.get("wait-ms"));
         while (true) {
+            while (!events.isEmpty() && events.get(0).at < Lab.now() - HISTORY_MILLIS) {
+                forgotten = events.remove(0).rev;
+            }
+            if (after < forgotten) return new String[] {"410", "{}"};
             List<String> found = new ArrayList<>();
             for (int index = events.size() - 1; index >= 0 && events.get(index).rev > after; index--) {
                 if (events.get(index).key.startsWith(prefix)) found.add(0, events.get(index).json);
