--- a/review/standins/LargeBodies.java
+++ b/review/standins/LargeBodies.java
@@ -6,7 +6,7 @@
 /** Case: many users come at once, and their request bodies are as large as the configuration permits. */
 final class LargeBodies {
     private static final int BODY_BYTES = 4_194_304;
-    private static final int USUAL_UPLOADS_PER_S = 4;
+    private static final int USUAL_UPLOADS_PER_S = 8;
     private static final double BURST = 2.6;
     private static final int BURST_AT_MILLIS = 6_000;
     private static final int BURST_MILLIS = 6_500;
