Answer requests in flight when a planned stop ends

Cause: at the end of the drain limit the shutdown only logged the requests in flight and exited. Calls are now told to end 0.3 s before the stop steps: 503 if no target can have run the request, 502 if one may have, no last chunk for a stream that has begun. Requests whose work cannot end before the host stops are refused at once. The own front end answers 502 with the outcome unknown.

In ShutdownStateTest the case that expected calls to be reported at the drain limit is replaced by two: they are told to end first, and only those that do not end are reported.

--- a/core/src/main/kotlin/org/sapphirelever/core/ErrorCode.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/ErrorCode.kt
@@ -50,6 +50,7 @@
         "The same request preceded the crash of several targets and is refused for a time."
     ),
     STOPPING("stopping", 503, "The host is stopping and takes no new requests."),
+    STOPPED("stopped", 502, "The host stopped before the answer was whole."),
     NOT_READY("not-ready", 503, "The host has no configuration in force yet."),
     INVALID_RESOURCE("invalid-resource", 422, "The resources do not pass validation."),
     UNKNOWN_RESOURCE("unknown-resource", 404, "No resource of this kind and name is in force."),
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/shutdown/ShutdownState.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/shutdown/ShutdownState.kt
@@ -1,7 +1,8 @@
 /*
  * Graceful shutdown of an entry host. The first signal makes the host unready and starts the
  * balancer delay; then new requests are refused while those in flight finish, at most for the
- * drain limit; then the stop steps run. A second signal skips all waits.
+ * drain limit; then those left are told to end with a final answer; then the stop steps run. A
+ * second signal skips all waits.
  */
 package org.sapphirelever.decisions.shutdown
 
@@ -14,21 +15,21 @@
 import org.sapphirelever.decisions.decide
 
 /** Phases of a shutdown, in their order. */
-public enum class ShutdownPhase { SERVING, ANNOUNCED, DRAINING, STEPPING, STOPPED }
+public enum class ShutdownPhase { SERVING, ANNOUNCED, DRAINING, ENDING, STEPPING, STOPPED }
 
 /**
  * Progress of a shutdown.
  *
- * @property balancerDelay time in which the load balancer notices that the host is unready
- * @property drainLimit longest wait for requests in flight after the balancer delay
  * @property waitEnd end of the wait of the present phase
+ * @property workEnd end of the work for callers, at which calls in flight are told to end; null
+ *   before the first signal
  * @property inFlight description of each unfinished call, by its number
  */
 public data class ShutdownState(
-    public val balancerDelay: Duration,
-    public val drainLimit: Duration,
+    public val times: ShutdownTimes,
     public val phase: ShutdownPhase = ShutdownPhase.SERVING,
     public val waitEnd: MonotonicTime = MonotonicTime.ZERO,
+    public val workEnd: MonotonicTime? = null,
     public val inFlight: PersistentMap<Long, String> = persistentMapOf()
 ) {
     /** Whether the host reports to the load balancer that it is ready. */
@@ -41,8 +42,12 @@
     public fun admits(maximumDuration: Duration?, now: MonotonicTime): Boolean = when (phase) {
         ShutdownPhase.SERVING, ShutdownPhase.ANNOUNCED -> true
         ShutdownPhase.DRAINING -> maximumDuration != null && now + maximumDuration < waitEnd
-        ShutdownPhase.STEPPING, ShutdownPhase.STOPPED -> false
+        ShutdownPhase.ENDING, ShutdownPhase.STEPPING, ShutdownPhase.STOPPED -> false
     }
+
+    /** Whether work of [duration] that starts now ends before the host stops. */
+    public fun hasTimeFor(duration: Duration, now: MonotonicTime): Boolean =
+        workEnd == null || now + duration < workEnd
 }
 
 public sealed interface ShutdownEvent {
@@ -73,6 +78,9 @@
     /** Send a tick at [time]. */
     public data class TickAt(public val time: MonotonicTime) : ShutdownAction
 
+    /** Tell all calls in flight to end with a final answer. */
+    public data object EndCalls : ShutdownAction
+
     /** Run the stop steps, in their order. */
     public data object RunSteps : ShutdownAction
 
@@ -96,8 +104,12 @@
 private fun ShutdownState.onSignal(now: MonotonicTime): Decision<ShutdownState, ShutdownAction> =
     when (phase) {
         ShutdownPhase.SERVING -> {
-            val end = now + balancerDelay
-            copy(phase = ShutdownPhase.ANNOUNCED, waitEnd = end).decide(ShutdownAction.TickAt(end))
+            val end = now + times.balancerDelay
+            copy(
+                phase = ShutdownPhase.ANNOUNCED,
+                waitEnd = end,
+                workEnd = end + times.drainLimit
+            ).decide(ShutdownAction.TickAt(end))
         }
 
         ShutdownPhase.STOPPED -> decide()
@@ -125,7 +137,13 @@
     when (phase) {
         ShutdownPhase.ANNOUNCED -> if (now < waitEnd) decide() else startDrain(now)
 
-        ShutdownPhase.DRAINING ->
+        ShutdownPhase.DRAINING -> when {
+            inFlight.isEmpty() -> startSteps()
+            now >= waitEnd -> endCalls(now)
+            else -> decide()
+        }
+
+        ShutdownPhase.ENDING ->
             if (inFlight.isEmpty() || now >= waitEnd) startSteps() else decide()
 
         else -> decide()
@@ -133,10 +151,16 @@
 
 private fun ShutdownState.startDrain(now: MonotonicTime): Decision<ShutdownState, ShutdownAction> {
     if (inFlight.isEmpty()) return startSteps()
-    val end = now + drainLimit
+    val end = workEnd ?: (now + times.drainLimit)
     return copy(phase = ShutdownPhase.DRAINING, waitEnd = end).decide(ShutdownAction.TickAt(end))
 }
 
+private fun ShutdownState.endCalls(now: MonotonicTime): Decision<ShutdownState, ShutdownAction> {
+    val end = now + times.answerTime
+    return copy(phase = ShutdownPhase.ENDING, waitEnd = end)
+        .decide(ShutdownAction.EndCalls, ShutdownAction.TickAt(end))
+}
+
 private fun ShutdownState.startSteps(): Decision<ShutdownState, ShutdownAction> {
     val actions = cutOffReports() + ShutdownAction.RunSteps
     return copy(phase = ShutdownPhase.STEPPING).decide(*actions.toTypedArray())
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/shutdown/ShutdownStateTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/shutdown/ShutdownStateTest.kt
@@ -2,10 +2,15 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.sapphirelever.core.ExitCode
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.decisions.shutdown.ShutdownAction.Admit
+import org.sapphirelever.decisions.shutdown.ShutdownAction.EndCalls
 import org.sapphirelever.decisions.shutdown.ShutdownAction.Exit
 import org.sapphirelever.decisions.shutdown.ShutdownAction.Refuse
 import org.sapphirelever.decisions.shutdown.ShutdownAction.ReportCutOff
@@ -68,17 +73,33 @@
                 )
             ),
             ShutdownCase(
-                "the drain limit ends the wait and reports what it cuts off",
+                "the drain limit ends the calls, and those that do not end are reported",
                 ShutdownPhase.STOPPED,
                 listOf(
                     step(0, CallArrived(2, "b"), Admit),
                     step(0, CallArrived(1, "a"), Admit),
+                    step(0, CallArrived(3, "c"), Admit),
                     step(1, Signal, TickAt(at(6))),
                     step(6, Tick, TickAt(at(66))),
                     step(65, Tick),
-                    step(66, Tick, ReportCutOff("a"), ReportCutOff("b"), RunSteps),
-                    step(67, CallEnded(1)),
-                    step(67, StepsEnded, Exit(ExitCode.SUCCESS))
+                    step(66, Tick, EndCalls, TickAt(at(68))),
+                    step(66, CallArrived(4, "d", 1.seconds), Refuse),
+                    step(67, CallEnded(3)),
+                    step(68, Tick, ReportCutOff("a"), ReportCutOff("b"), RunSteps),
+                    step(69, CallEnded(1)),
+                    step(69, StepsEnded, Exit(ExitCode.SUCCESS))
+                )
+            ),
+            ShutdownCase(
+                "calls that end when told so leave nothing to report",
+                ShutdownPhase.STEPPING,
+                listOf(
+                    step(0, CallArrived(1, "a"), Admit),
+                    step(1, Signal, TickAt(at(6))),
+                    step(6, Tick, TickAt(at(66))),
+                    step(66, Tick, EndCalls, TickAt(at(68))),
+                    step(67, CallEnded(1), RunSteps),
+                    step(68, Tick)
                 )
             ),
             ShutdownCase(
@@ -108,7 +129,7 @@
     @Test
     fun `each event of a shutdown leads to the stated actions`() {
         for (case in cases) {
-            var state = ShutdownState(balancerDelay = 5.seconds, drainLimit = 60.seconds)
+            var state = ShutdownState(ShutdownTimes(5.seconds, 60.seconds, 2.seconds))
             for (step in case.steps) {
                 val decision = state.on(step.event, at(step.second))
                 assertEquals(step.actions, decision.actions.toList(), "${case.name}: $step")
@@ -117,4 +138,26 @@
             assertEquals(case.phase, state.phase, case.name)
         }
     }
+
+    /** Guards against waits that together exceed the time until the process is killed. */
+    @Test
+    fun `the waits fit into the grace period`() {
+        val cases =
+            mapOf(
+                8.seconds to ShutdownTimes(3.seconds, 4_200.milliseconds),
+                4.seconds to ShutdownTimes(1_600.milliseconds, 1_600.milliseconds),
+                1.seconds to ShutdownTimes(400.milliseconds, Duration.ZERO)
+            )
+        for ((gracePeriod, times) in cases) assertEquals(times, ShutdownTimes.within(gracePeriod))
+    }
+
+    /** Guards against work that starts although the host stops before its end. */
+    @Test
+    fun `work must end before the host stops`() {
+        val serving = ShutdownState(ShutdownTimes(5.seconds, 60.seconds))
+        val stopping = serving.on(Signal, at(1)).state
+        assertTrue(serving.hasTimeFor(500.seconds, at(0)))
+        assertTrue(stopping.hasTimeFor(64.seconds, at(1)))
+        assertFalse(stopping.hasTimeFor(65.seconds, at(1)))
+    }
 }
--- a/faults/src/main/kotlin/org/sapphirelever/faults/Hosts.kt
+++ b/faults/src/main/kotlin/org/sapphirelever/faults/Hosts.kt
@@ -34,6 +34,7 @@
 import org.sapphirelever.decisions.configuration.TargetListState
 import org.sapphirelever.decisions.configuration.on
 import org.sapphirelever.decisions.routing.RoutingState
+import org.sapphirelever.decisions.shutdown.ShutdownTimes
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.capacity.CapacityController
 import org.sapphirelever.runtime.capacity.CapacitySettings
@@ -132,7 +133,11 @@
         simulation.clock
     )
     private val shutdown =
-        GracefulShutdown(BALANCER_DELAY, DRAIN_LIMIT, simulation.clock, stopSteps())
+        GracefulShutdown(
+            ShutdownTimes(BALANCER_DELAY, DRAIN_LIMIT),
+            simulation.clock,
+            stopSteps()
+        )
     val isReady: Boolean
         get() = alive && shutdown.announcesReady && configuration.value.ready &&
             routing.value.targets.isNotEmpty()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/AttemptOutcome.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/AttemptOutcome.kt
@@ -7,8 +7,11 @@
 
 /** Outcome of one call to a target for a request. */
 internal sealed interface AttemptOutcome {
-    /** The response was delivered to the caller. */
-    data class Done(val outcome: ForwardOutcome) : AttemptOutcome
+    /** The stream was delivered to the caller. */
+    data class Delivered(val outcome: ForwardOutcome) : AttemptOutcome
+
+    /** The target answered; its response is to be forwarded. */
+    data class Answered(val response: CompleteResponse) : AttemptOutcome
 
     /** The target did not run the request. */
     data class NotRun(val cause: String, val sent: Boolean) : AttemptOutcome
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -6,7 +6,6 @@
 
 import java.io.IOException
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
@@ -90,12 +89,14 @@
                         forwarding.forward(request, body, arrivedAt, response)
                     }
                 }
-            } catch (_: SapphireleverException) {
+            } catch (refused: SapphireleverException) {
+                // A head must never follow the bytes of a response that has begun.
+                if (response.hasStarted) throw refused
                 response.send(
                     protocol.refusal(request.id, SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER),
                     NO_BODY
                 )
-                ForwardOutcome(SERVICE_UNAVAILABLE, "stopping")
+                ForwardOutcome(SERVICE_UNAVAILABLE, STOPPING)
             }
         recordFinished(request, outcome, state.clock.now() - arrivedAt)
         return outcome != null && response.isComplete && response.isKeptAlive
@@ -168,12 +169,8 @@
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
         const val HEADER_TOO_LARGE = 431
-        const val SERVICE_UNAVAILABLE = 503
         val NO_BODY = ByteArray(0)
 
-        /** Callers retry on a new connection, which reaches another host. */
-        val STOPPING_RETRY_AFTER = 50.milliseconds
-
         /** Limits until a configuration is known; until then every request is refused. */
         val DEFAULT_LIMITS =
             CallerLimits(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -3,10 +3,7 @@
  */
 package org.sapphirelever.runtime.forward
 
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -24,6 +21,7 @@
 import org.sapphirelever.core.SystemMonotonicClock
 import org.sapphirelever.decisions.forwarding.expectedCallingHosts
 import org.sapphirelever.decisions.forwarding.maximumReadyAge
+import org.sapphirelever.decisions.shutdown.ShutdownTimes
 import org.sapphirelever.decisions.supervision.RestartPolicy
 import org.sapphirelever.decisions.supervision.Strategy
 import org.sapphirelever.runtime.host.GracefulShutdown
@@ -54,12 +52,7 @@
     private val settings = SettingsWatch(source, state)
     private val feed = StoreFeed(store, state)
     private val shutdown =
-        GracefulShutdown(
-            BALANCER_DELAY,
-            profile.shutdownGracePeriod - BALANCER_DELAY - STOP_RESERVE,
-            clock,
-            emptyList()
-        )
+        GracefulShutdown(ShutdownTimes.within(profile.shutdownGracePeriod), clock, emptyList())
     private val metrics = ForwardingMetrics(state)
 
     /** Starts a graceful shutdown and withdraws the announcement of this host. */
@@ -125,7 +118,7 @@
         val stages = StageExecutor(executor, state)
         val guard = CrashGuard(workScope, sockets, store, state)
         val forwarding =
-            RequestForwarding(protocol, state, calls, stages, executor, guard)
+            RequestForwarding(protocol, state, calls, stages, executor, guard, shutdown)
         val server = PieceServer(localExecutor, state)
         launch {
             sockets.listen(profile.peers).use {
@@ -180,15 +173,6 @@
         const val OK = 200
         const val UNAVAILABLE = 503
 
-        /**
-         * The load balancer checks readiness every second and removes a host after two failed
-         * checks.
-         */
-        val BALANCER_DELAY = 3.seconds
-
-        /** Part of the shutdown grace period that is reserved for the exit of the process. */
-        val STOP_RESERVE = 500.milliseconds
-
         /**
          * The window is five minutes, because nested supervisors exceed their own restart limit
          * only after 26 s.
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
@@ -15,10 +15,14 @@
 /** Causes of refusals, for the log and the metrics. */
 internal const val TARGETS_LIMITED = "targets-limited"
 internal const val SUSPECTED_CRASH = "suspected-crash"
+internal const val STOPPING = "stopping"
 
 /** Time after which the load is expected to have changed for a refused caller. */
 internal val RETRY_AFTER = 300.milliseconds
 
+/** Callers of a host that stops retry on a new connection, which reaches another host. */
+internal val STOPPING_RETRY_AFTER = 50.milliseconds
+
 /** Targets stop work at the deadline; their response arrives slightly later. */
 internal val RESPONSE_GRACE = 100.milliseconds
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
@@ -6,12 +6,10 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
-import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -20,34 +18,29 @@
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.TargetRecord
-import org.sapphirelever.decisions.forwarding.Admission
 import org.sapphirelever.decisions.forwarding.PromptShape
 import org.sapphirelever.decisions.forwarding.ResponseEstimate
 import org.sapphirelever.decisions.forwarding.chooseEngine
 import org.sapphirelever.decisions.forwarding.expectedFirstToken
 import org.sapphirelever.decisions.forwarding.leastLoaded
-import org.sapphirelever.decisions.forwarding.withCached
-import org.sapphirelever.decisions.suspicion.RequestTrait
 import org.sapphirelever.decisions.suspicion.TraitBlock
 import org.sapphirelever.runtime.log.logEvent
 
-/** Execution of one admitted request. */
+/** Execution of [admitted]; [trialOf] is the block despite which it is sent, if any. */
 internal class RequestExecution(
     private val parts: ForwardingParts,
-    private val request: CallerRequest,
-    private val body: ByteArray,
-    private val arrivedAt: MonotonicTime,
-    private val response: CallerResponse,
-    private val granted: Admission.Granted,
-    private val traits: List<RequestTrait>,
+    private val admitted: AdmittedRequest,
     private var trialOf: TraitBlock?
 ) {
     private val state = parts.state
     private val guard = parts.guard
     private val refusals = parts.refusals
-    private val route = granted.route
-    private val allowedTime = minOf(request.timeout ?: route.timeout, route.timeout)
-    private val deadline = arrivedAt + allowedTime
+    private val request = admitted.request
+    private val response = admitted.response
+    private val granted = admitted.granted
+    private val traits = admitted.traits
+    private val route = admitted.route
+    private val deadline = admitted.deadline
     private val stream = StreamDelivery(response, parts.protocol, request.lastEventId)
     private var results: PersistentList<StageResult> = persistentListOf()
     private var areResultsConsumed = false
@@ -58,38 +51,23 @@
 
     private val remaining: Duration get() = deadline - state.clock.now()
 
+    /** Whether another call could be answered before the deadline and before the host stops. */
+    private val hasTimeForCall: Boolean
+        get() = remaining > MINIMUM_CALL_TIME && parts.shutdown.hasTimeFor(MINIMUM_CALL_TIME)
+
+    private val engineTime: Duration
+        get() = expectedFirstToken(request.prompt?.tokens ?: 0)
+
     suspend fun run(): ForwardOutcome {
         try {
-            val stageTime = parts.stages.expectedTime(request, route.stages, granted.rank).current
-            limitWait.retryAfter(stageTime)?.let { retryAfter ->
-                return refusals.refuse(
-                    request,
-                    response,
-                    SERVICE_UNAVAILABLE,
-                    TARGETS_LIMITED,
-                    retryAfter
-                )
-            }
-            if (route.stages.isNotEmpty()) {
-                overloadRetryAfter()?.let { retryAfter ->
-                    return refusals.refuse(
-                        request,
-                        response,
-                        SERVICE_UNAVAILABLE,
-                        "stages-overloaded",
-                        retryAfter
-                    )
-                }
-                runStages()
-            }
+            refuseAtOnce()?.let { return it }
+            if (route.stages.isNotEmpty()) runStages()
         } catch (failure: StageFailedException) {
-            return refusals.refuse(
-                request,
-                response,
-                SERVICE_UNAVAILABLE,
-                "stage-failed: ${failure.reason}",
-                RETRY_AFTER
-            )
+            return if (failure.reason == STOPPING) {
+                refuseStopping()
+            } else {
+                refuse("stage-failed: ${failure.reason}", RETRY_AFTER)
+            }
         }
         try {
             return callTargets()
@@ -98,16 +76,44 @@
         }
     }
 
+    /** Refuses a request that is not expected to be served; null if it can start now. */
+    private suspend fun refuseAtOnce(): ForwardOutcome? {
+        val stageTime = parts.stages.expectedTime(request, route.stages, granted.rank)
+        limitWait.retryAfter(stageTime.current)?.let { return refuse(TARGETS_LIMITED, it) }
+        if (!parts.shutdown.hasTimeFor(stageTime.current + engineTime)) return refuseStopping()
+        if (route.stages.isEmpty()) return null
+        return overloadRetryAfter(stageTime)?.let { refuse("stages-overloaded", it) }
+    }
+
+    private suspend fun refuse(cause: String, retryAfter: Duration): ForwardOutcome =
+        refusals.refuse(request, response, SERVICE_UNAVAILABLE, cause, retryAfter)
+
+    private suspend fun refuseStopping(): ForwardOutcome = refuse(STOPPING, STOPPING_RETRY_AFTER)
+
     private suspend fun runStages() {
-        val softDeadline = arrivedAt + route.objective
+        val softDeadline = admitted.arrivedAt + route.objective
         results =
-            parts.stages.run(
-                request,
-                route.stages,
-                StageSchedule(granted.rank, stageDeadline(softDeadline), softDeadline)
-            )
+            stageResults(StageSchedule(granted.rank, stageDeadline(softDeadline), softDeadline))
     }
 
+    /** Runs the stages, which fail with [STOPPING] when calls must end because the host stops. */
+    private suspend fun stageResults(schedule: StageSchedule): PersistentList<StageResult> =
+        coroutineScope {
+            val running = async { parts.stages.run(request, route.stages, schedule) }
+            val watch = launch {
+                parts.shutdown.awaitCallsEnd()
+                running.cancel()
+            }
+            try {
+                running.await()
+            } catch (_: CancellationException) {
+                ensureActive()
+                throw StageFailedException(STOPPING)
+            } finally {
+                watch.cancel()
+            }
+        }
+
     /**
      * Runs the stages again for a stream that is resumed at another engine, if the first engine
      * consumed their results, which were released then. Returns false if they cannot be rerun.
@@ -122,12 +128,9 @@
         if (!permitted) return false
         areResultsConsumed = false
         return try {
-            results =
-                parts.stages.run(
-                    request,
-                    route.stages,
-                    StageSchedule(granted.rank, deadline - STAGE_RESERVE, arrivedAt)
-                )
+            val schedule =
+                StageSchedule(granted.rank, deadline - STAGE_RESERVE, admitted.arrivedAt)
+            results = stageResults(schedule)
             true
         } catch (failure: StageFailedException) {
             logEvent("results-not-remade") {
@@ -139,9 +142,7 @@
     }
 
     /** Time after which the caller should retry, or null if the request can start now. */
-    private fun overloadRetryAfter(): Duration? {
-        val stageTime = parts.stages.expectedTime(request, route.stages, granted.rank)
-        val engineTime = expectedFirstToken(request.prompt?.tokens ?: 0)
+    private fun overloadRetryAfter(stageTime: StageTimeEstimate): Duration? {
         val estimate =
             ResponseEstimate(
                 objective = route.objective,
@@ -175,13 +176,15 @@
             if (block != null && block.trait != trialOf?.trait) return failBlocked(block)
             val target = nextTarget() ?: return failWithoutTarget()
             if (!remaining.isPositive()) return fail("deadline-passed")
+            if (hasNotRun && !parts.shutdown.hasTimeFor(engineTime)) return refuseStopping()
             conclude(call(target), target)?.let { return it }
         }
     }
 
     /** The outcome of the request after [attempt], or null if another call is permitted. */
     private suspend fun conclude(attempt: AttemptOutcome, target: TargetRecord): ForwardOutcome? {
-        if (attempt is AttemptOutcome.Done) return attempt.outcome
+        if (attempt is AttemptOutcome.Delivered) return attempt.outcome
+        if (attempt is AttemptOutcome.Answered) return deliver(attempt.response)
         excluded = excluded.add(target.id)
         if (attempt is AttemptOutcome.NotRun) {
             refusedCalls++
@@ -189,10 +192,10 @@
         }
         executions++
         return when (attempt) {
+            is AttemptOutcome.Failed -> if (mayRepeat()) null else deliver(attempt.response)
+
             is AttemptOutcome.MayHaveRun ->
                 if (mayRepeat() && rerunStages()) null else fail(attempt.cause)
-
-            is AttemptOutcome.Failed -> if (mayRepeat()) null else deliver(attempt.response)
         }
     }
 
@@ -206,35 +209,29 @@
 
     private suspend fun failWithoutTarget(): ForwardOutcome {
         val wait = state.shares.shortestWait(remainingTargets())
-        if (wait == Duration.ZERO || executions > 0 || response.hasStarted) {
-            return fail("no-target")
-        }
-        return refusals.refuse(
-            request,
-            response,
-            SERVICE_UNAVAILABLE,
-            TARGETS_LIMITED,
-            limitWait.pause(wait)
-        )
+        if (wait == Duration.ZERO || !hasNotRun) return fail("no-target")
+        return refuse(TARGETS_LIMITED, limitWait.pause(wait))
     }
 
+    /** Whether no target can have run the request, so that 503 is true. */
+    private val hasNotRun: Boolean get() = executions == 0 && !response.hasStarted
+
     private fun remainingTargets(): List<TargetRecord> =
         state.usableTargets(granted.service).filterNot { it.id in excluded }
 
-    private suspend fun failBlocked(block: TraitBlock): ForwardOutcome =
-        if (executions == 0 && !response.hasStarted) {
-            refusals.refuseBlocked(request, response, block)
-        } else {
-            fail(SUSPECTED_CRASH)
-        }
+    private suspend fun failBlocked(block: TraitBlock): ForwardOutcome = if (hasNotRun) {
+        refusals.refuseBlocked(request, response, block)
+    } else {
+        fail(SUSPECTED_CRASH)
+    }
 
     private fun mayRetryAfterRefusal(attempt: AttemptOutcome.NotRun): Boolean =
-        refusedCalls <= MAXIMUM_REFUSALS && remaining > MINIMUM_CALL_TIME &&
+        refusedCalls <= MAXIMUM_REFUSALS && hasTimeForCall &&
             (!attempt.sent || state.tryTakeRetry(granted.service))
 
     private fun mayRepeat(): Boolean =
         route.repetition.mayRepeat && executions < route.maximumAttempts &&
-            guard.blockOf(traits) == null && remaining > MINIMUM_CALL_TIME &&
+            guard.blockOf(traits) == null && hasTimeForCall &&
             state.tryTakeRetry(granted.service)
 
     private fun choose(): TargetRecord? {
@@ -253,118 +250,14 @@
     }
 
     private suspend fun call(target: TargetRecord): AttemptOutcome {
-        val callTime = remaining
-        val inputs = results.map { it.handle }.toPersistentList()
-        val rank = granted.rank.takeIf { request.prompt != null }
-        val options =
-            TargetCallOptions(
-                target.id,
-                granted.organisation,
-                callTime,
-                rank,
-                inputs,
-                stream.lastEventId
-            )
-        logChoice(target)
-        val unread = request.prompt?.tokens ?: 0
-        state.updateView(target.id) { it.copy(unreadTokens = it.unreadTokens + unread) }
-        var firstEventAt: MonotonicTime? = null
-        var hasSurvived = false
-        val onEvents = {
-            val now = state.clock.now()
-            val startedAt = firstEventAt ?: now.also { recordPromptRead(target, unread) }
-            firstEventAt = startedAt
-            if (!hasSurvived && now - startedAt >= SUSTAINED_ANSWER) {
-                hasSurvived = true
-                guard.survived(traits)
+        val isTrial = trialOf != null
+        trialOf = null
+        return TargetAttempt(parts, admitted, stream, target, results, isTrial) {
+            if (results.isNotEmpty()) {
+                areResultsConsumed = true
+                releaseResults()
             }
-        }
-        try {
-            val sent = TargetRequest(parts.protocol.targetHead(request, options), body)
-            val isTrial = trialOf != null
-            trialOf = null
-            val outcome =
-                cancelledWhenBlocked({ isTrial || firstEventAt != null }) {
-                    parts.calls.call(
-                        target,
-                        sent,
-                        request.id,
-                        callTime + RESPONSE_GRACE
-                    ) { source ->
-                        receive(target, source, onEvents)
-                    }
-                }
-            return when (outcome) {
-                is CallOutcome.Completed -> outcome.value
-
-                is CallOutcome.NotSent ->
-                    AttemptOutcome.NotRun("not-sent: ${outcome.reason}", sent = false)
-
-                is CallOutcome.Lost -> {
-                    if (outcome.broken && !hasSurvived) {
-                        guard.checkForCrash(request.id, traits, target)
-                    }
-                    AttemptOutcome.MayHaveRun("lost: ${outcome.reason}")
-                }
-            }
-        } finally {
-            if (firstEventAt == null) {
-                state.updateView(target.id) { it.copy(unreadTokens = it.unreadTokens - unread) }
-            }
-        }
-    }
-
-    /**
-     * Runs [call], and cancels it if a trait of the request is blocked, unless [isExempt]. The
-     * target then drops the request, if it has not begun to answer.
-     */
-    private suspend fun <T> cancelledWhenBlocked(
-        isExempt: () -> Boolean,
-        call: suspend () -> CallOutcome<T>
-    ): CallOutcome<T> = coroutineScope {
-        val calling = async { call() }
-        val watch = launch {
-            guard.awaitCancellingBlock(traits)
-            if (!isExempt()) calling.cancel()
-        }
-        try {
-            calling.await()
-        } catch (_: CancellationException) {
-            ensureActive()
-            CallOutcome.Lost(SUSPECTED_CRASH, broken = false)
-        } finally {
-            watch.cancel()
-        }
-    }
-
-    private suspend fun receive(
-        target: TargetRecord,
-        source: OpenResponse,
-        onEvents: () -> Unit
-    ): AttemptOutcome {
-        val reply = source.reply
-        if (reply.notRun) {
-            source.body.readWholeOrThrow()
-            return AttemptOutcome.NotRun("refused-${reply.status}", sent = true)
-        }
-        if (reply.isSuccess && (!reply.sealed || reply.hasContentEncoding)) {
-            return AttemptOutcome.MayHaveRun("answer of target ${target.id} is not its own")
-        }
-        if (route.repetition.isStream && reply.isSuccess) {
-            stream.deliver(source) {
-                onEvents()
-                if (results.isNotEmpty()) {
-                    areResultsConsumed = true
-                    releaseResults()
-                }
-            }
-            guard.survived(traits)
-            return AttemptOutcome.Done(ForwardOutcome(reply.status, "answered", target.id))
-        }
-        val complete = CompleteResponse(source, source.body.readWholeOrThrow(), target.id)
-        if (reply.status >= FIRST_SERVER_ERROR) return AttemptOutcome.Failed(complete)
-        guard.survived(traits)
-        return AttemptOutcome.Done(deliver(complete))
+        }.run()
     }
 
     private suspend fun deliver(complete: CompleteResponse): ForwardOutcome {
@@ -377,58 +270,17 @@
     /** Ends the request without a complete response of a target. */
     private suspend fun fail(cause: String): ForwardOutcome = when {
         response.hasStarted -> ForwardOutcome(0, "stream-broken: $cause")
-
-        executions == 0 -> refusals.refuse(
-            request,
-            response,
-            SERVICE_UNAVAILABLE,
-            cause,
-            RETRY_AFTER
-        )
-
+        executions == 0 -> refuse(cause, RETRY_AFTER)
         remaining.isPositive() -> refusals.refuse(request, response, BAD_GATEWAY, cause, null)
-
         else -> refusals.refuse(request, response, GATEWAY_TIMEOUT, cause, null)
     }
 
-    private fun recordPromptRead(target: TargetRecord, unread: Int) {
-        val now = state.clock.now()
-        val parts = request.prompt?.shared ?: persistentListOf()
-        state.updateView(target.id) { view ->
-            view.copy(unreadTokens = view.unreadTokens - unread).withCached(parts, now)
-        }
-    }
-
     private fun releaseResults() {
         parts.executor.release(results)
         results = persistentListOf()
     }
 
-    private fun logChoice(target: TargetRecord) {
-        val view = state.targetViews[target.id]
-        logEvent("target-chosen") {
-            "request" to request.id
-            "route" to route.name
-            "target" to target.id
-            "parts" to request.prompt?.shared?.joinToString(",") { it.id }
-            "remaining-ms" to remaining.inWholeMilliseconds
-            "outstanding" to view?.outstanding
-            "unread-tokens" to view?.unreadTokens
-            "report" to view?.report?.let { "${it.running}/${it.waiting}/${it.slots}" }
-            "report-age-ms" to
-                view?.report?.let { (state.clock.now() - it.at).inWholeMilliseconds }
-        }
-    }
-
     private companion object {
-        const val FIRST_SERVER_ERROR = 500
-
-        /**
-         * Time for which a target must send events before the request counts as harmless; a target
-         * that crashes does so when it begins its answer.
-         */
-        val SUSTAINED_ANSWER = 1.seconds
-
         /** Targets that may refuse a request before the caller is told to retry later. */
         const val MAXIMUM_REFUSALS = 3
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -13,6 +13,7 @@
 import org.sapphirelever.decisions.forwarding.maximumConfigurationAge
 import org.sapphirelever.decisions.keys.Fingerprint
 import org.sapphirelever.decisions.suspicion.RequestTrait
+import org.sapphirelever.runtime.host.GracefulShutdown
 
 /** Outcome of a request, for the log and the metrics. */
 public data class ForwardOutcome(
@@ -29,7 +30,8 @@
     val stages: StageExecutor,
     val executor: PieceExecutor,
     val guard: CrashGuard,
-    val refusals: Refusals
+    val refusals: Refusals,
+    val shutdown: GracefulShutdown
 )
 
 /** Forwards requests of callers. */
@@ -39,11 +41,12 @@
     calls: TargetCalls,
     stages: StageExecutor,
     executor: PieceExecutor,
-    private val guard: CrashGuard
+    private val guard: CrashGuard,
+    shutdown: GracefulShutdown
 ) {
     private val refusals = Refusals(protocol, state, guard)
     private val parts =
-        ForwardingParts(protocol, state, calls, stages, executor, guard, refusals)
+        ForwardingParts(protocol, state, calls, stages, executor, guard, refusals, shutdown)
 
     /** Forwards [request], which arrived at [arrivedAt] with [body], and writes [response]. */
     public suspend fun forward(
@@ -98,16 +101,9 @@
                     refusals.refuseBlocked(request, response, block)
                 } else {
                     state.countRequest(admission.service)
-                    RequestExecution(
-                        parts,
-                        request,
-                        body,
-                        arrivedAt,
-                        response,
-                        admission,
-                        traits,
-                        block
-                    ).run()
+                    val admitted =
+                        AdmittedRequest(request, body, arrivedAt, response, admission, traits)
+                    RequestExecution(parts, admitted, block).run()
                 }
             }
         }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
@@ -0,0 +1,187 @@
+/*
+ * One call to a target for a request, and the classification of its response.
+ */
+package org.sapphirelever.runtime.forward
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import org.sapphirelever.core.MonotonicTime
+import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.withCached
+import org.sapphirelever.runtime.log.logEvent
+
+/**
+ * Sends [admitted] once to [target], with the [results] of its stages. Events of a stream are
+ * written as they arrive; [onFirstEvent] runs before the first one.
+ *
+ * @property isTrial whether the request is sent to find out whether it still crashes targets
+ */
+internal class TargetAttempt(
+    private val parts: ForwardingParts,
+    private val admitted: AdmittedRequest,
+    private val stream: StreamDelivery,
+    private val target: TargetRecord,
+    private val results: List<StageResult>,
+    private val isTrial: Boolean,
+    private val onFirstEvent: () -> Unit
+) {
+    private val state = parts.state
+    private val guard = parts.guard
+    private val request = admitted.request
+    private val unreadTokens = request.prompt?.tokens ?: 0
+    private var firstEventAt: MonotonicTime? = null
+    private var hasSurvived = false
+
+    suspend fun run(): AttemptOutcome {
+        val remaining = admitted.deadline - state.clock.now()
+        logChoice(remaining)
+        state.updateView(target.id) { it.copy(unreadTokens = it.unreadTokens + unreadTokens) }
+        try {
+            val head = parts.protocol.targetHead(request, options(remaining))
+            val sent = TargetRequest(head, admitted.body)
+            val outcome =
+                cancellable {
+                    parts.calls.call(
+                        target,
+                        sent,
+                        request.id,
+                        remaining + RESPONSE_GRACE,
+                        ::receive
+                    )
+                }
+            return toAttemptOutcome(outcome)
+        } finally {
+            if (firstEventAt == null) {
+                state.updateView(target.id) {
+                    it.copy(unreadTokens = it.unreadTokens - unreadTokens)
+                }
+            }
+        }
+    }
+
+    private fun options(remaining: Duration): TargetCallOptions = TargetCallOptions(
+        target.id,
+        admitted.granted.organisation,
+        remaining,
+        admitted.granted.rank.takeIf { request.prompt != null },
+        results.map { it.handle }.toPersistentList(),
+        stream.lastEventId
+    )
+
+    private suspend fun toAttemptOutcome(outcome: CallOutcome<AttemptOutcome>): AttemptOutcome =
+        when (outcome) {
+            is CallOutcome.Completed -> outcome.value
+
+            is CallOutcome.NotSent ->
+                AttemptOutcome.NotRun("not-sent: ${outcome.reason}", sent = false)
+
+            is CallOutcome.Lost -> {
+                if (outcome.broken && !hasSurvived) {
+                    guard.checkForCrash(request.id, admitted.traits, target)
+                }
+                AttemptOutcome.MayHaveRun("lost: ${outcome.reason}")
+            }
+        }
+
+    /**
+     * Runs [call]. Cancels it when calls must end because the host stops, and when a trait of the
+     * request is blocked before its first event; the target then drops the request.
+     */
+    private suspend fun <T> cancellable(call: suspend () -> CallOutcome<T>): CallOutcome<T> =
+        coroutineScope {
+            val calling = async { call() }
+            var reason = STOPPING
+            val stopWatch = launch {
+                parts.shutdown.awaitCallsEnd()
+                calling.cancel()
+            }
+            val blockWatch = launch {
+                guard.awaitCancellingBlock(admitted.traits)
+                if (isTrial || firstEventAt != null) return@launch
+                reason = SUSPECTED_CRASH
+                calling.cancel()
+            }
+            try {
+                calling.await()
+            } catch (_: CancellationException) {
+                ensureActive()
+                CallOutcome.Lost(reason, broken = false)
+            } finally {
+                stopWatch.cancel()
+                blockWatch.cancel()
+            }
+        }
+
+    private suspend fun receive(source: OpenResponse): AttemptOutcome {
+        val reply = source.reply
+        if (reply.notRun) {
+            source.body.readWholeOrThrow()
+            return AttemptOutcome.NotRun("refused-${reply.status}", sent = true)
+        }
+        if (reply.isSuccess && (!reply.sealed || reply.hasContentEncoding)) {
+            return AttemptOutcome.MayHaveRun("answer of target ${target.id} is not its own")
+        }
+        if (admitted.route.repetition.isStream && reply.isSuccess) {
+            stream.deliver(source, ::recordEvents)
+            guard.survived(admitted.traits)
+            return AttemptOutcome.Delivered(ForwardOutcome(reply.status, "answered", target.id))
+        }
+        val complete = CompleteResponse(source, source.body.readWholeOrThrow(), target.id)
+        if (reply.status >= FIRST_SERVER_ERROR) return AttemptOutcome.Failed(complete)
+        guard.survived(admitted.traits)
+        return AttemptOutcome.Answered(complete)
+    }
+
+    private fun recordEvents() {
+        val now = state.clock.now()
+        val startedAt = firstEventAt
+        if (startedAt == null) {
+            firstEventAt = now
+            recordPromptRead(now)
+            onFirstEvent()
+        } else if (!hasSurvived && now - startedAt >= SUSTAINED_ANSWER) {
+            hasSurvived = true
+            guard.survived(admitted.traits)
+        }
+    }
+
+    private fun recordPromptRead(now: MonotonicTime) {
+        val shared = request.prompt?.shared ?: persistentListOf()
+        state.updateView(target.id) { view ->
+            view.copy(unreadTokens = view.unreadTokens - unreadTokens).withCached(shared, now)
+        }
+    }
+
+    private fun logChoice(remaining: Duration) {
+        val view = state.targetViews[target.id]
+        logEvent("target-chosen") {
+            "request" to request.id
+            "route" to admitted.route.name
+            "target" to target.id
+            "parts" to request.prompt?.shared?.joinToString(",") { it.id }
+            "remaining-ms" to remaining.inWholeMilliseconds
+            "outstanding" to view?.outstanding
+            "unread-tokens" to view?.unreadTokens
+            "report" to view?.report?.let { "${it.running}/${it.waiting}/${it.slots}" }
+            "report-age-ms" to
+                view?.report?.let { (state.clock.now() - it.at).inWholeMilliseconds }
+        }
+    }
+
+    private companion object {
+        const val FIRST_SERVER_ERROR = 500
+
+        /**
+         * Time for which a target must send events before the request counts as harmless; a target
+         * that crashes does so when it begins its answer.
+         */
+        val SUSTAINED_ANSWER = 1.seconds
+    }
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/CallGate.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/CallGate.kt
@@ -1,6 +1,6 @@
 /*
- * Interceptor of the calls of callers and operators: counts them for the graceful shutdown and
- * refuses them while the host stops. Health, readiness, metrics and watches bypass it.
+ * Interceptor of the calls of callers and operators: counts them for the graceful shutdown,
+ * refuses them while the host stops, and answers those that its end cancels. Health, readiness, metrics and watches bypass it.
  */
 package org.sapphirelever.runtime.host
 
@@ -18,7 +18,7 @@
         val path = call.request.path()
         if (!isCounted(path)) return@intercept proceed()
         val label = "${call.request.httpMethod.value} $path"
-        answer(call) { shutdown.admit(label) { proceed() } }
+        answer(call) { shutdown.admit(label) { shutdown.cancelledAtEnd { proceed() } } }
         // A refused call has been answered already and must not reach its route.
         finish()
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -21,6 +21,7 @@
 import org.sapphirelever.decisions.routing.ExpectedCompletionPolicy
 import org.sapphirelever.decisions.routing.RoutingState
 import org.sapphirelever.decisions.routing.TargetPolicy
+import org.sapphirelever.decisions.shutdown.ShutdownTimes
 import org.sapphirelever.decisions.supervision.RestartPolicy
 import org.sapphirelever.decisions.supervision.Strategy
 import org.sapphirelever.runtime.StateCell
@@ -110,8 +111,7 @@
     private val controller = CapacityController(capacity, platform, engineOrders, clock)
     private val shutdown: GracefulShutdown =
         GracefulShutdown(
-            settings.balancerDelay,
-            settings.drainLimit,
+            ShutdownTimes(settings.balancerDelay, settings.drainLimit),
             clock,
             stopSteps + departureSteps()
         )
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/GracefulShutdown.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/GracefulShutdown.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
@@ -23,6 +24,7 @@
 import org.sapphirelever.decisions.shutdown.ShutdownAction
 import org.sapphirelever.decisions.shutdown.ShutdownEvent
 import org.sapphirelever.decisions.shutdown.ShutdownState
+import org.sapphirelever.decisions.shutdown.ShutdownTimes
 import org.sapphirelever.decisions.shutdown.on
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
@@ -30,15 +32,15 @@
 
 /** Graceful shutdown of one process. [steps] run in list order after the last call has ended. */
 public class GracefulShutdown(
-    balancerDelay: Duration,
-    drainLimit: Duration,
+    times: ShutdownTimes,
     private val clock: MonotonicClock,
     private val steps: List<StopStep>
 ) {
-    private val state = StateCell(ShutdownState(balancerDelay, drainLimit))
+    private val state = StateCell(ShutdownState(times))
     private val callNumbers = AtomicLong()
     private val pendingActions = Channel<ShutdownAction>(Channel.UNLIMITED)
     private val exit = CompletableDeferred<ExitCode>()
+    private val callsEnd = CompletableDeferred<Unit>()
 
     /** Whether the host reports to the load balancer that it is ready. */
     public val announcesReady: Boolean get() = state.value.announcesReady
@@ -46,6 +48,15 @@
     /** Number of calls that have not been answered. */
     public val outstanding: Int get() = state.value.inFlight.size
 
+    /** Whether work of [duration] that starts now ends before the host stops. */
+    public fun hasTimeFor(duration: Duration): Boolean =
+        state.value.hasTimeFor(duration, clock.now())
+
+    /** Waits until calls in flight must end with a final answer. */
+    public suspend fun awaitCallsEnd() {
+        callsEnd.await()
+    }
+
     /** Called on SIGTERM or SIGINT, from any thread. */
     public fun signal() {
         logEvent("signal-received") {
@@ -77,6 +88,27 @@
         }
     }
 
+    /**
+     * Runs [call], and cancels it when calls must end because the host stops.
+     *
+     * @throws SapphireleverException with [ErrorCode.STOPPED] if [call] was cancelled
+     */
+    public suspend fun <T> cancelledAtEnd(call: suspend () -> T): T = coroutineScope {
+        val calling = async { call() }
+        val watch = launch {
+            awaitCallsEnd()
+            calling.cancel()
+        }
+        try {
+            calling.await()
+        } catch (_: CancellationException) {
+            ensureActive()
+            throw SapphireleverException(ErrorCode.STOPPED)
+        } finally {
+            watch.cancel()
+        }
+    }
+
     /** Waits for a signal, performs the shutdown and returns the exit code of the process. */
     public suspend fun awaitExit(): ExitCode = coroutineScope {
         val worker = launch { for (action in pendingActions) launch { perform(action) } }
@@ -90,11 +122,17 @@
             when (action) {
                 is ShutdownAction.Exit -> exit.complete(action.code)
                 is ShutdownAction.ReportCutOff -> reportCutOff(action)
+                ShutdownAction.EndCalls -> endCalls()
                 else -> pendingActions.trySend(action)
             }
         }
     }
 
+    private fun endCalls() {
+        logEvent("calls-ended") { "outstanding" to outstanding }
+        callsEnd.complete(Unit)
+    }
+
     private fun reportCutOff(action: ShutdownAction.ReportCutOff) {
         logWarning("request-cut-off") { "call" to action.label }
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
@@ -71,6 +71,8 @@
     } catch (cancelled: CancellationException) {
         throw cancelled
     } catch (failure: SapphireleverException) {
+        // An error must never follow the bytes of a response that has begun.
+        if (call.response.isCommitted) throw failure
         call.respondError(failure.code, failure.message.orEmpty(), failure.toFindings())
     } catch (failure: SerializationException) {
         call.respondError(ErrorCode.MALFORMED_REQUEST, failure.message.orEmpty())
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/host/GracefulShutdownTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/host/GracefulShutdownTest.kt
@@ -4,6 +4,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlinx.coroutines.async
 import org.sapphirelever.core.ExitCode
@@ -46,4 +47,20 @@
             assertEquals(ExitCode.CUT_SHORT, host.exit.await())
         }
     }
+
+    /** Guards against a connection that is closed without an answer when the host exits. */
+    @Test
+    fun `a request that outlasts the drain limit is told that its outcome is unknown`() {
+        withHost(drainLimit = 300.milliseconds) { host ->
+            val held = async { host.chat("hold-1") }
+            host.targets.held.await()
+            host.signal()
+            val answer = held.await()
+            assertEquals(502, answer.status.value)
+            val body = answer.bodyAsText()
+            assertTrue("\"code\":\"stopped\"" in body, body)
+            assertTrue("\"outcome\":\"outcome-unknown\"" in body, body)
+            assertEquals(ExitCode.SUCCESS, host.exit.await())
+        }
+    }
 }
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/host/TestHost.kt
@@ -81,7 +81,8 @@
     scope: CoroutineScope,
     val targets: EchoClient = EchoClient(),
     balancerDelay: Duration = 200.milliseconds,
-    steps: List<StopStep> = emptyList()
+    steps: List<StopStep> = emptyList(),
+    drainLimit: Duration = 20.seconds
 ) {
     private val port = ServerSocket(0).use { it.localPort }
     private val client = HttpClient(CIO) { expectSuccess = false }
@@ -93,6 +94,7 @@
             peer = Endpoint("127.0.0.1", 0),
             platform = Endpoint("127.0.0.1", 0),
             balancerDelay = balancerDelay,
+            drainLimit = drainLimit,
             bodyLimit = BODY_LIMIT
         )
     private val host = EntryHost(settings, platformWithTargets(), targets, stopSteps = steps)
@@ -128,11 +130,12 @@
 internal fun withHost(
     steps: List<StopStep> = emptyList(),
     balancerDelay: Duration = 200.milliseconds,
+    drainLimit: Duration = 20.seconds,
     test: suspend CoroutineScope.(TestHost) -> Unit
 ) {
     runBlocking {
         withTimeout(30.seconds) {
-            val host = TestHost(this, balancerDelay = balancerDelay, steps = steps)
+            val host = TestHost(this, EchoClient(), balancerDelay, steps, drainLimit)
             host.awaitStatus("/readyz", 200)
             // A separate task reads the target list.
             while ("complete" !in host.answerTo("ready")) delay(10)
