Bound the memory that answers of targets hold together

Callers saw connections closed without an answer when a target sent bytes without end to many requests at a time: the host met OutOfMemoryError.

Cause: each answer was bounded, their sum was not, and each was held up to three times. A declared length above the limit is rejected from the head.

--- a/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcessTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcessTest.kt
@@ -44,7 +44,7 @@
             val settings = createTempFile("node", ".json").toFile()
             settings.writeText(settingsJson(profile, revocationMillis = 5_000))
             val output = createTempFile("host", ".log").toFile()
-            val process = start(settings, profile.metrics.port, output)
+            val process = startForward(settings, profile.metrics.port, output)
             try {
                 runBlocking {
                     withTimeout(TEST_TIMEOUT) { exercise(process, profile, settings, output) }
@@ -82,27 +82,6 @@
     private suspend fun metrics(profile: HostProfile): String =
         call(profile.metrics, "/metrics/", null).second
 
-    private fun start(settings: File, metricsPort: Int, output: File): Process = ProcessBuilder(
-        File(System.getProperty("java.home"), "bin/java").path,
-        "-Xmx96m",
-        "-cp",
-        System.getProperty("java.class.path"),
-        "org.sapphirelever.cli.MainKt",
-        "forward",
-        "--settings",
-        settings.path,
-        "--metrics-port",
-        metricsPort.toString()
-    ).redirectErrorStream(true).redirectOutput(output).start()
-
-    private fun settingsJson(profile: HostProfile, revocationMillis: Int): String =
-        """{"node":"${profile.host}","zone":"${profile.dataCentre}","ip":"127.0.0.1",""" +
-            """"listen":{"front":"${profile.callers}",""" +
-            """"ready-address":"${profile.readiness}"},""" +
-            """"internal-ports":[${profile.peers.port},${profile.peers.port}],""" +
-            """"bounds":{"grace-s":8,"revoke-ms":$revocationMillis,"budget-extra":52},""" +
-            """"platform":{"address":"${profile.store}"},"unknown":1}"""
-
     private companion object {
         val EVENTS =
             listOf(
--- /dev/null
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/HostMemoryTest.kt
@@ -0,0 +1,114 @@
+/*
+ * Memory of a forwarding host that runs as a separate process with a small heap.
+ */
+package org.sapphirelever.cli
+
+import kotlin.io.path.createTempFile
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.sapphirelever.core.Endpoint
+import org.sapphirelever.core.forwarding.HostProfile
+import org.sapphirelever.platform.EndlessTargetStandIn
+import org.sapphirelever.platform.POLL_MILLIS
+import org.sapphirelever.platform.ReplicaStandIn
+import org.sapphirelever.platform.StoreStandIn
+import org.sapphirelever.platform.TEST_TIMEOUT
+import org.sapphirelever.platform.call
+import org.sapphirelever.platform.hostProfile
+import org.sapphirelever.platform.isReady
+
+class HostMemoryTest {
+    private data class Case(val name: String, val path: String, val start: String)
+
+    private val cases =
+        listOf(
+            Case("head", "/once/", "HTTP/1.1 200 OK\r\nA: "),
+            Case("body", "/once/", "$HEAD\r\n"),
+            Case("chunked body", "/once/", "${HEAD}Transfer-Encoding: chunked\r\n\r\nfffffff\r\n"),
+            Case("declared body", "/once/", "${HEAD}Content-Length: 9999999999\r\n\r\n"),
+            Case("body of another answer", "/once/", "HTTP/1.1 200 OK\r\nAttempt-Id: x\r\n\r\n"),
+            Case("body of a refusal", "/once/", "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n"),
+            Case("event", "/stream/", "$HEAD\r\nid: 1\ndata: ")
+        )
+
+    /**
+     * Guards against a target that fills the memory of a host with answers that do not end, which
+     * ends the requests of other callers or the process.
+     */
+    @Test
+    fun `many answers without end neither exhaust the memory nor delay other requests`() {
+        for (case in cases) {
+            EndlessTargetStandIn(case.start, "x").use { faulty ->
+                ReplicaStandIn().use { sound -> run(case, faulty, sound) }
+            }
+        }
+    }
+
+    private fun run(case: Case, faulty: EndlessTargetStandIn, sound: ReplicaStandIn) {
+        val entries =
+            mapOf(
+                "servers/i-1" to entry("faulty", faulty.endpoint),
+                "servers/i-2" to entry("sound", sound.endpoint),
+                "op/config" to CONFIGURATION
+            )
+        StoreStandIn(entries).use { store ->
+            val profile = hostProfile("entry-1", store.endpoint)
+            val settings = createTempFile("node", ".json").toFile()
+            settings.writeText(settingsJson(profile, revocationMillis = 5_000))
+            val output = createTempFile("host", ".log").toFile()
+            val process = startForward(settings, profile.metrics.port, output, "-Xmx160m")
+            try {
+                runBlocking { withTimeout(TEST_TIMEOUT) { exercise(case, profile) } }
+                assertTrue(process.isAlive, case.name)
+                assertFalse("OutOfMemoryError" in output.readText(), case.name)
+            } finally {
+                process.destroyForcibly()
+            }
+        }
+    }
+
+    private suspend fun exercise(case: Case, profile: HostProfile) = coroutineScope {
+        while (!isReady(profile)) delay(POLL_MILLIS)
+        val others = async {
+            List(OTHER_REQUESTS) {
+                delay(POLL_MILLIS)
+                call(profile.callers, "/sound/", null)
+            }
+        }
+        val affected =
+            List(REQUESTS) { async { call(profile.callers, case.path, null) } }.awaitAll()
+        assertEquals(setOf(502), affected.map { it.first }.toSet(), case.name)
+        assertEquals(setOf(200 to "ok"), others.await().toSet(), case.name)
+    }
+
+    private fun entry(service: String, endpoint: Endpoint): String =
+        """{"service":"$service","address":"$endpoint","zone":"z","slots":4,"state":"ready"}"""
+
+    private companion object {
+        /** Requests at a time; their answers together are far larger than the heap. */
+        const val REQUESTS = 32
+        const val OTHER_REQUESTS = 20
+        const val HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nReplica-Seal: s\r\n"
+
+        val CONFIGURATION: String =
+            """{"version":3,"routes":[${route("once", "non_idempotent", "faulty")},""" +
+                """${route("stream", "streaming", "faulty")},""" +
+                """${route("sound", "idempotent", "sound")}],""" +
+                """"services":[{"name":"faulty"},{"name":"sound"}],""" +
+                """"limits":{"max-header-bytes":16384,"max-body-bytes":65536,""" +
+                """"header-timeout-ms":3000,"idle-timeout-ms":15000}}"""
+
+        fun route(name: String, kind: String, service: String): String =
+            """{"name":"$name","host":"a.example","prefix":"/$name/","kind":"$kind",""" +
+                """"timeout-ms":9000,"slo-ms":500,"service":"$service","max-attempts":2,""" +
+                """"anonymous":true}"""
+    }
+}
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/AdmittedRequest.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/AdmittedRequest.kt
@@ -7,15 +7,21 @@
 import org.sapphirelever.core.forwarding.Route
 import org.sapphirelever.decisions.forwarding.Admission
 import org.sapphirelever.decisions.suspicion.RequestTrait
+import org.sapphirelever.runtime.transport.MemoryClaim
 
-/** A [request] with its [body] that arrived at [arrivedAt], and the [response] to write. */
+/**
+ * A [request] with its [body] that arrived at [arrivedAt], and the [response] to write.
+ *
+ * @property memory claim on the memory for the answer of a target
+ */
 internal class AdmittedRequest(
     val request: CallerRequest,
     val body: ByteArray,
     val arrivedAt: MonotonicTime,
     val response: CallerResponse,
     val granted: Admission.Granted,
-    val traits: List<RequestTrait>
+    val traits: List<RequestTrait>,
+    val memory: MemoryClaim
 ) {
     val route: Route get() = granted.route
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/AttemptOutcome.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/AttemptOutcome.kt
@@ -4,6 +4,7 @@
 package org.sapphirelever.runtime.forward
 
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.runtime.transport.MessageBody
 
 /** Outcome of one call to a target for a request. */
 internal sealed interface AttemptOutcome {
@@ -24,4 +25,8 @@
 }
 
 /** A response of [target] that was read to its end. */
-internal class CompleteResponse(val source: OpenResponse, val body: ByteArray, val target: TargetId)
+internal class CompleteResponse(
+    val source: OpenResponse,
+    val body: MessageBody,
+    val target: TargetId
+)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -19,6 +19,7 @@
 import org.sapphirelever.runtime.transport.CONTINUE
 import org.sapphirelever.runtime.transport.Framing
 import org.sapphirelever.runtime.transport.HttpConnection
+import org.sapphirelever.runtime.transport.MessageBody
 import org.sapphirelever.runtime.transport.OversizedMessageException
 import org.sapphirelever.runtime.transport.RequestHead
 import org.sapphirelever.runtime.transport.TornMessageException
@@ -94,7 +95,7 @@
                 if (response.hasStarted) throw refused
                 response.send(
                     protocol.refusal(request.id, SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER),
-                    NO_BODY
+                    MessageBody.EMPTY
                 )
                 ForwardOutcome(SERVICE_UNAVAILABLE, STOPPING)
             }
@@ -158,7 +159,7 @@
             "cause" to cause
         }
         CallerResponse(connection, omitsBody = false) { false }
-            .send(protocol.refusal(null, status, null), NO_BODY)
+            .send(protocol.refusal(null, status, null), MessageBody.EMPTY)
     }
 
     /** The caller closed its connection before the response was complete. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerResponse.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerResponse.kt
@@ -8,6 +8,7 @@
 import org.sapphirelever.runtime.transport.Header
 import org.sapphirelever.runtime.transport.HttpConnection
 import org.sapphirelever.runtime.transport.LAST_CHUNK
+import org.sapphirelever.runtime.transport.MessageBody
 import org.sapphirelever.runtime.transport.ResponseHead
 import org.sapphirelever.runtime.transport.TRANSFER_ENCODING
 import org.sapphirelever.runtime.transport.chunkOf
@@ -35,10 +36,11 @@
         private set
 
     /** Writes a complete response with a known length. */
-    public suspend fun send(head: ResponseHead, body: ByteArray) {
+    public suspend fun send(head: ResponseHead, body: MessageBody) {
         val framed = framed(head, Header(CONTENT_LENGTH, body.size.toString()))
         hasStarted = true
-        connection.write(framed.encoded(), if (omitsBody) ByteArray(0) else body)
+        val blocks = if (omitsBody) emptyList() else body.blocks
+        connection.write(framed.encoded(), blocks)
         isComplete = true
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/EventStream.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/EventStream.kt
@@ -3,26 +3,26 @@
  */
 package org.sapphirelever.runtime.forward
 
-import java.io.ByteArrayOutputStream
+import org.sapphirelever.runtime.transport.MemoryClaim
 import org.sapphirelever.runtime.transport.OversizedMessageException
 
 /** One complete event including its terminating blank line, with its id if it has one. */
 public class StreamEvent(public val bytes: ByteArray, public val id: String?)
 
-/** Splits the parts of a body into events. Not thread-safe. */
-public class EventSplitter {
-    private val pending = ByteArrayOutputStream()
+/** Splits the parts of a body into events; [claim] holds an incomplete event. Not thread-safe. */
+public class EventSplitter(private val claim: MemoryClaim) {
+    private var pending = ByteArray(0)
 
     /** Bytes after the last complete event. */
-    public val rest: ByteArray get() = pending.toByteArray()
+    public val rest: ByteArray get() = pending
 
     /**
      * Appends [part] and returns the events that it completes. Throws [OversizedMessageException]
      * if the incomplete event after them is larger than any event should be.
      */
     public fun add(part: ByteArray): List<StreamEvent> {
-        pending.write(part)
-        val bytes = pending.toByteArray()
+        claim.resize(pending.size.toLong() + part.size)
+        val bytes = pending + part
         val events = mutableListOf<StreamEvent>()
         var start = 0
         while (true) {
@@ -31,13 +31,11 @@
             events += eventOf(bytes.copyOfRange(start, end))
             start = end
         }
-        if (start > 0) {
-            pending.reset()
-            pending.write(bytes, start, bytes.size - start)
-        }
-        if (pending.size() > MAXIMUM_EVENT_BYTES) {
+        pending = if (start == 0) bytes else bytes.copyOfRange(start, bytes.size)
+        if (pending.size > MAXIMUM_EVENT_BYTES) {
             throw OversizedMessageException("event", MAXIMUM_EVENT_BYTES.toLong())
         }
+        claim.resize(pending.size.toLong())
         return events
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -33,6 +33,7 @@
 import org.sapphirelever.runtime.transport.Header
 import org.sapphirelever.runtime.transport.Headers
 import org.sapphirelever.runtime.transport.HttpConnection
+import org.sapphirelever.runtime.transport.MessageBody
 import org.sapphirelever.runtime.transport.ResponseHead
 import org.sapphirelever.runtime.transport.Sockets
 
@@ -164,7 +165,9 @@
             val (status, body) = answer()
             val type = Header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
             val head = ResponseHead(status, "Answer", Headers(persistentListOf(type)))
-            CallerResponse(connection, omitsBody = false) { keepAlive }.send(head, body)
+            CallerResponse(connection, omitsBody = false) {
+                keepAlive
+            }.send(head, MessageBody.of(body))
             if (!keepAlive) return
         }
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
@@ -41,6 +41,9 @@
         ) {
             state.configuration.value.age(state.readClock())?.toDouble(DurationUnit.SECONDS) ?: -1.0
         }
+        gauge("sapphirelever_message_memory_held_bytes", "Memory that messages hold") {
+            state.memory.heldBytes.toDouble()
+        }
     }
 
     /** Records the end of a request; [outcome] is null if its caller closed the connection. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -33,6 +33,7 @@
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.runtime.transport.MessageMemory
 
 /** Shared state of a forwarding host that starts with the settings [initial]. */
 public class ForwardingState(initial: HostProfile, public val clock: MonotonicClock) {
@@ -40,6 +41,9 @@
     public var profile: HostProfile = initial
         private set
 
+    /** Memory for the messages of callers and targets. */
+    public val memory: MessageMemory = MessageMemory()
+
     /** The adopted configuration and the time at which the store last confirmed it. */
     public val configuration: StateCell<CachedConfiguration> = StateCell(CachedConfiguration())
     public val directory: StateCell<TargetDirectory> = StateCell(TargetDirectory())
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.sapphirelever.decisions.suspicion.TraitBlock
 import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.transport.MessageBody
 
 internal const val SERVICE_UNAVAILABLE = 503
 internal const val BAD_GATEWAY = 502
@@ -40,7 +41,7 @@
         cause: String,
         retryAfter: Duration?
     ): ForwardOutcome {
-        response.send(protocol.refusal(request.id, status, retryAfter), ByteArray(0))
+        response.send(protocol.refusal(request.id, status, retryAfter), MessageBody.EMPTY)
         return ForwardOutcome(status, cause)
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
@@ -41,7 +41,7 @@
     private val traits = admitted.traits
     private val route = admitted.route
     private val deadline = admitted.deadline
-    private val stream = StreamDelivery(response, parts.protocol, request.lastEventId)
+    private val stream = StreamDelivery(response, parts.protocol, state.memory, request.lastEventId)
     private var results: PersistentList<StageResult> = persistentListOf()
     private var areResultsConsumed = false
     private var excluded: PersistentSet<TargetId> = persistentSetOf()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -101,9 +101,19 @@
                     refusals.refuseBlocked(request, response, block)
                 } else {
                     state.countRequest(admission.service)
-                    val admitted =
-                        AdmittedRequest(request, body, arrivedAt, response, admission, traits)
-                    RequestExecution(parts, admitted, block).run()
+                    state.memory.claim().use { memory ->
+                        val admitted =
+                            AdmittedRequest(
+                                request,
+                                body,
+                                arrivedAt,
+                                response,
+                                admission,
+                                traits,
+                                memory
+                            )
+                        RequestExecution(parts, admitted, block).run()
+                    }
                 }
             }
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
@@ -11,7 +11,7 @@
 import kotlinx.coroutines.launch
 import org.sapphirelever.decisions.Decision
 import org.sapphirelever.runtime.StateCell
-import org.sapphirelever.runtime.transport.readWhole
+import org.sapphirelever.runtime.transport.skipWhole
 
 /** Releases results at their producers, with one call for several results. */
 public class ResultRelease(
@@ -38,7 +38,7 @@
                 // The answer says nothing of its request; one that is written again is rejected as
                 // the answer to a call for results.
                 calls.call(producer, request, null, CALL_TIMEOUT) {
-                    it.body.readWhole(RESPONSE_LIMIT_BYTES)
+                    it.body.skipWhole(RESPONSE_LIMIT_BYTES)
                     it.isIdentified = it.reply.isSuccess
                 }
                 released.forEach { it.onReleased() }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StreamDelivery.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StreamDelivery.kt
@@ -4,12 +4,17 @@
  */
 package org.sapphirelever.runtime.forward
 
+import org.sapphirelever.runtime.transport.MessageMemory
 import org.sapphirelever.runtime.transport.TornMessageException
 
-/** Writes events to [response]; [lastEventId] is the id of the last event that the caller has. */
+/**
+ * Writes events to [response]; [lastEventId] is the id of the last event that the caller has, and
+ * [memory] holds incomplete events.
+ */
 public class StreamDelivery(
     private val response: CallerResponse,
     private val protocol: ForwardProtocol,
+    private val memory: MessageMemory,
     lastEventId: String?
 ) {
     public var lastEventId: String? = lastEventId
@@ -20,7 +25,14 @@
      * [TornMessageException] if the stream ends inside an event, whatever its framing says.
      */
     public suspend fun deliver(source: OpenResponse, onEvents: () -> Unit) {
-        val splitter = EventSplitter()
+        memory.claim().use { deliver(source, EventSplitter(it), onEvents) }
+    }
+
+    private suspend fun deliver(
+        source: OpenResponse,
+        splitter: EventSplitter,
+        onEvents: () -> Unit
+    ) {
         while (true) {
             val part = source.body.next() ?: break
             val events = splitter.add(part).filterNot { isDelivered(it) }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
@@ -122,7 +122,7 @@
     private suspend fun receive(source: OpenResponse): AttemptOutcome {
         val reply = source.reply
         if (reply.notRun) {
-            source.body.readWholeOrThrow()
+            source.body.skipWholeOrThrow()
             return AttemptOutcome.NotRun("refused-${reply.status}", sent = true)
         }
         if (reply.isSuccess && (!reply.sealed || reply.hasContentEncoding)) {
@@ -133,7 +133,7 @@
             guard.survived(admitted.traits)
             return AttemptOutcome.Delivered(ForwardOutcome(reply.status, "answered", target.id))
         }
-        val complete = CompleteResponse(source, source.body.readWholeOrThrow(), target.id)
+        val complete = CompleteResponse(source, source.readWholeOrThrow(admitted.memory), target.id)
         if (reply.status >= FIRST_SERVER_ERROR) return AttemptOutcome.Failed(complete)
         guard.survived(admitted.traits)
         return AttemptOutcome.Answered(complete)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -13,15 +13,20 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.runtime.log.logEvent
+import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.transport.BodyReader
 import org.sapphirelever.runtime.transport.Framing
 import org.sapphirelever.runtime.transport.HttpConnection
+import org.sapphirelever.runtime.transport.MemoryClaim
+import org.sapphirelever.runtime.transport.MemoryExhaustedException
+import org.sapphirelever.runtime.transport.MessageBody
 import org.sapphirelever.runtime.transport.OversizedMessageException
 import org.sapphirelever.runtime.transport.ResponseHead
 import org.sapphirelever.runtime.transport.TornMessageException
 import org.sapphirelever.runtime.transport.encoded
 import org.sapphirelever.runtime.transport.readWhole
 import org.sapphirelever.runtime.transport.responseFraming
+import org.sapphirelever.runtime.transport.skipWhole
 
 /** Outcome of a call. */
 public sealed interface CallOutcome<out T> {
@@ -48,6 +53,7 @@
     public val head: ResponseHead,
     public val reply: TargetReply,
     public val body: BodyReader,
+    public val framing: Framing,
     public var isIdentified: Boolean
 )
 
@@ -91,6 +97,13 @@
                 "failure" to failure.message
             }
             lost(target, failure.message.orEmpty(), broken = false)
+        } catch (failure: MemoryExhaustedException) {
+            logWarning("memory-exhausted") {
+                "target" to target.id
+                "request" to id
+                "held-bytes" to state.memory.heldBytes
+            }
+            CallOutcome.Lost(failure.message.orEmpty(), broken = false)
         } catch (failure: IOException) {
             lost(target, failure.message.orEmpty(), broken = true)
         } finally {
@@ -123,7 +136,14 @@
             state.shares.record(target, reply.requestLimit)
             val framing = head.headers.responseFraming(request.head.method, head.status)
             val body = TrackedBody(connection.body(framing))
-            val response = OpenResponse(head, reply, body, id != null && reply.request == id)
+            val response = OpenResponse(
+                head,
+                reply,
+                body,
+                framing,
+                isIdentified =
+                    id != null && reply.request == id
+            )
             val value = use(response)
             val isFinished = body.isComplete && sending.isCompleted && response.isIdentified
             isReusable = isFinished && framing != Framing.UntilClose && !head.closesConnection
@@ -167,7 +187,7 @@
                     throw TornMessageException("response without identity on a used connection")
                 }
                 val framing = head.headers.responseFraming(request.head.method, head.status)
-                connection.body(framing).readWholeOrThrow()
+                connection.body(framing).skipWholeOrThrow()
             }
             throw OversizedMessageException("other responses", MAXIMUM_OTHER_RESPONSES.toLong())
         }
@@ -199,9 +219,28 @@
 
 private val METHODS_WITHOUT_BODY = setOf("GET", "HEAD", "DELETE", "OPTIONS")
 
-/** Reads the complete body; throws [OversizedMessageException] if it exceeds the size limit. */
-internal suspend fun BodyReader.readWholeOrThrow(): ByteArray = readWhole(RESPONSE_LIMIT_BYTES)
-    ?: throw OversizedMessageException("body", RESPONSE_LIMIT_BYTES.toLong())
+/**
+ * Reads the complete body, whose bytes [claim] holds; throws [OversizedMessageException] if it
+ * exceeds the size limit.
+ */
+internal suspend fun OpenResponse.readWholeOrThrow(claim: MemoryClaim): MessageBody {
+    val length = (framing as? Framing.Length)?.bytes ?: 0
+    val body = if (length >
+        RESPONSE_LIMIT_BYTES
+    ) {
+        null
+    } else {
+        body.readWhole(RESPONSE_LIMIT_BYTES, claim)
+    }
+    return body ?: throw oversizedBody()
+}
+
+/** Reads the body to its end; throws [OversizedMessageException] if it exceeds the size limit. */
+internal suspend fun BodyReader.skipWholeOrThrow() {
+    if (!skipWhole(RESPONSE_LIMIT_BYTES)) throw oversizedBody()
+}
+
+private fun oversizedBody() = OversizedMessageException("body", RESPONSE_LIMIT_BYTES.toLong())
 
 /** Size limit of responses that are not streams, so that a target cannot exhaust the memory. */
 private const val RESPONSE_LIMIT_BYTES = 8_388_608
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
@@ -65,6 +65,14 @@
         }
     }
 
+    /** Writes and flushes [head] and then the [blocks] of a body one by one. */
+    public suspend fun write(head: ByteArray, blocks: List<ByteArray>) {
+        if (blocks.isEmpty()) return write(head)
+        write(head, blocks.first())
+        // Each block leaves the buffer of the connection before the next one enters it.
+        blocks.drop(1).forEach { write(it) }
+    }
+
     override fun close() {
         socket.close()
     }
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/EventSplitterTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/EventSplitterTest.kt
@@ -5,6 +5,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import org.sapphirelever.runtime.transport.MessageMemory
 
 class EventSplitterTest {
     private data class Case(
@@ -53,7 +54,7 @@
     @Test
     fun `only complete events are returned`() {
         cases.forEach { case ->
-            val splitter = EventSplitter()
+            val splitter = EventSplitter(MessageMemory().claim())
             val events = case.parts.flatMap { splitter.add(it.toByteArray()) }
             assertEquals(case.events, events.map { it.bytes.decodeToString() }, case.name)
             assertEquals(case.ids, events.map { it.id }, case.name)
