End a broken stream that the next target does not resume

Callers could get a stream that ended as if it were complete, or bytes of something else in it, when a target broke off and the next one answered 200 with an empty body or with a body that is no event stream.

Cause: any signed 2xx answer counted as the continuation. It must now have the media type and the form of the first answer, and its events must have ids if the earlier ones had.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/EventStream.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/EventStream.kt
@@ -6,8 +6,16 @@
 import org.sapphirelever.runtime.transport.MemoryClaim
 import org.sapphirelever.runtime.transport.OversizedMessageException
 
-/** One complete event including its terminating blank line, with its id if it has one. */
-public class StreamEvent(public val bytes: ByteArray, public val id: String?)
+/**
+ * One complete event including its terminating blank line, with its id if it has one.
+ *
+ * @property isComment whether it consists of comments only, which keep a connection open
+ */
+public class StreamEvent(
+    public val bytes: ByteArray,
+    public val id: String?,
+    public val isComment: Boolean
+)
 
 /** Splits the parts of a body into events; [claim] holds an incomplete event. Not thread-safe. */
 public class EventSplitter(private val claim: MemoryClaim) {
@@ -54,14 +62,9 @@
     }
 
     private fun eventOf(bytes: ByteArray): StreamEvent {
-        val id =
-            bytes
-                .decodeToString()
-                .lineSequence()
-                .lastOrNull { it.startsWith(ID_FIELD) }
-                ?.removePrefix(ID_FIELD)
-                ?.trim()
-        return StreamEvent(bytes, id)
+        val lines = bytes.decodeToString().lineSequence().filter { it.isNotBlank() }.toList()
+        val id = lines.lastOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)?.trim()
+        return StreamEvent(bytes, id, lines.all { it.startsWith(COMMENT) })
     }
 
     private companion object {
@@ -70,5 +73,6 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val COMMENT = ":"
     }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -94,28 +94,27 @@
                 null
             )
 
-            is Admission.Granted -> {
-                val traits = traitsOf(request, body, admission)
-                val block = guard.blockOf(traits)
-                if (block != null && !guard.mayTry(block)) {
-                    refusals.refuseBlocked(request, response, block)
-                } else {
-                    state.countRequest(admission.service)
-                    state.memory.claim().use { memory ->
-                        val admitted =
-                            AdmittedRequest(
-                                request,
-                                body,
-                                arrivedAt,
-                                response,
-                                admission,
-                                traits,
-                                memory
-                            )
-                        RequestExecution(parts, admitted, block).run()
-                    }
-                }
-            }
+            is Admission.Granted -> execute(request, body, arrivedAt, response, admission)
+        }
+    }
+
+    private suspend fun execute(
+        request: CallerRequest,
+        body: ByteArray,
+        arrivedAt: MonotonicTime,
+        response: CallerResponse,
+        granted: Admission.Granted
+    ): ForwardOutcome {
+        val traits = traitsOf(request, body, granted)
+        val block = guard.blockOf(traits)
+        if (block != null && !guard.mayTry(block)) {
+            return refusals.refuseBlocked(request, response, block)
+        }
+        state.countRequest(granted.service)
+        return state.memory.claim().use { memory ->
+            val admitted =
+                AdmittedRequest(request, body, arrivedAt, response, granted, traits, memory)
+            RequestExecution(parts, admitted, block).run()
         }
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
@@ -129,6 +129,9 @@
             return AttemptOutcome.MayHaveRun("answer of target ${target.id} is not its own")
         }
         if (admitted.route.repetition.isStream && reply.isSuccess) {
+            if (!stream.mayContinueWith(source)) {
+                return AttemptOutcome.MayHaveRun("target ${target.id} does not resume the stream")
+            }
             stream.deliver(source, ::recordEvents)
             guard.survived(admitted.traits)
             return AttemptOutcome.Delivered(ForwardOutcome(reply.status, "answered", target.id))
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/CallGate.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/CallGate.kt
@@ -1,6 +1,7 @@
 /*
  * Interceptor of the calls of callers and operators: counts them for the graceful shutdown,
- * refuses them while the host stops, and answers those that its end cancels. Health, readiness, metrics and watches bypass it.
+ * refuses them while the host stops, and answers those that its end cancels. Health, readiness,
+ * metrics and watches bypass it.
  */
 package org.sapphirelever.runtime.host
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageMemory.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageMemory.kt
@@ -23,7 +23,7 @@
     public fun claim(): MemoryClaim = MemoryClaim(budget)
 
     private companion object {
-        /** The rest of the heap is for the state of the host and for garbage between collections. */
+        /** The rest of the heap is for the state of the host and for garbage. */
         const val HEAP_SHARE = 3
 
         fun defaultCapacity(): Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE
