Respect departures and pauses that targets state in answers

Targets that said in an answer that they leave, or asked for a pause with a refusal, went on getting requests, since nothing read either.

A departure now counts like a record that says so, until the target restarts, whatever the store says meanwhile. Both hold from the next decision on and are checked before each call and after its connection was opened. Idle connections of leaving targets are closed. Requests whose targets all leave or want a pause are refused at once. Log, metrics and the readiness address show both.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
@@ -1,16 +1,20 @@
 /*
- * Targets that may take work, from the records in the store. During an outage of the store, records
- * of live targets may expire; such targets stay usable for a short time after the outage.
+ * Targets that may take work, from the records in the store and from what targets state in their
+ * answers. During an outage of the store, records of live targets may expire; such targets stay
+ * usable for a short time after the outage.
  */
 package org.sapphirelever.decisions.forwarding
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.core.forwarding.TargetRecord
 
 /** A record as last seen; [missingSince] is set if the store no longer has it. */
@@ -22,6 +26,8 @@
 /**
  * Known targets.
  *
+ * @property departures targets that stated in an answer that they leave, and when; a statement
+ *   holds until the target restarts, whatever its record says
  * @property storeUnavailable whether the last call to the store failed
  * @property recoveredAt time at which the store answered again after an outage
  * @property outageSince time at which that outage, or the present one, was noticed
@@ -30,13 +36,26 @@
     public val targets: PersistentMap<TargetId, ListedTarget> = persistentMapOf(),
     public val storeUnavailable: Boolean = false,
     public val recoveredAt: MonotonicTime? = null,
-    public val outageSince: MonotonicTime? = null
+    public val outageSince: MonotonicTime? = null,
+    public val departures: PersistentMap<TargetIncarnation, MonotonicTime> = persistentMapOf()
 ) {
     internal fun isRecovering(now: MonotonicTime): Boolean =
         storeUnavailable || recoveredAt?.let { now - it < RECOVERY_PERIOD } == true
 
+    /** Whether [target] leaves, according to its record or to itself. */
+    public fun isLeaving(target: TargetRecord): Boolean =
+        target.leaving || target.incarnation in departures ||
+            targets[target.id]?.record?.let { it.leaving && it.startedAt == target.startedAt } ==
+            true
+
+    /** Targets that leave, with the time of their statement if they made one. */
+    public fun leaving(): Map<TargetRecord, MonotonicTime?> = targets.values
+        .map { it.record }
+        .filter { isLeaving(it) }
+        .associateWith { departures[it.incarnation] }
+
     private fun ListedTarget.isUsable(now: MonotonicTime): Boolean =
-        !record.leaving && (missingSince == null || mayHaveExpired(missingSince, now))
+        !isLeaving(record) && (missingSince == null || mayHaveExpired(missingSince, now))
 
     /** Whether an outage, and not the end of the target, may be why a record is missing. */
     private fun mayHaveExpired(missingSince: MonotonicTime, now: MonotonicTime): Boolean =
@@ -57,6 +76,25 @@
 public fun TargetDirectory.put(record: TargetRecord): TargetDirectory =
     copy(targets = targets.put(record.id, ListedTarget(record)))
 
+/** Records that [target] stated that it leaves. */
+public fun TargetDirectory.statedLeaving(
+    target: TargetIncarnation,
+    now: MonotonicTime
+): TargetDirectory {
+    if (target in departures) return this
+    return copy(departures = currentDepartures(now).put(target, now))
+}
+
+/** The statements without those of targets that have certainly ended since. */
+private fun TargetDirectory.currentDepartures(
+    now: MonotonicTime
+): PersistentMap<TargetIncarnation, MonotonicTime> {
+    if (departures.size < PRUNED_DEPARTURES) return departures
+    return departures.filter { (target, statedAt) ->
+        targets[target.target]?.record?.incarnation == target || now - statedAt < LONGEST_DEPARTURE
+    }.toPersistentMap()
+}
+
 /** Marks the record of [id] as missing from the store. */
 public fun TargetDirectory.removed(id: TargetId, now: MonotonicTime): TargetDirectory {
     val listed = targets[id] ?: return this
@@ -89,5 +127,11 @@
     }
 }
 
+/** Number of departures at which outdated ones are removed. */
+private const val PRUNED_DEPARTURES = 1_024
+
+/** Longer than a target without a record goes on serving. */
+private val LONGEST_DEPARTURE = 10.minutes
+
 /** Longer than [TargetDirectory.RECOVERY_PERIOD], so that no record that may return is removed. */
 private val RECORD_RETENTION = 30.seconds
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectoryTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectoryTest.kt
@@ -6,6 +6,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.core.forwarding.TargetIncarnation
 
 class TargetDirectoryTest {
     private data class Case(
@@ -73,6 +74,48 @@
                 0,
                 setOf("b")
             ),
+            Case("stated that it leaves", both.departed("a"), 0, setOf("b")),
+            Case(
+                "stated, then listed once more",
+                both.departed("a").put(target("a")),
+                0,
+                setOf("b")
+            ),
+            Case(
+                "stated, then restarted",
+                both.departed("a").put(target("a").copy(startedAt = 2)),
+                0,
+                setOf("a", "b")
+            ),
+            Case(
+                "restarted, then its earlier record again",
+                both.departed("a").put(target("a").copy(startedAt = 2)).put(target("a")),
+                0,
+                setOf("b")
+            ),
+            Case(
+                "stated by an earlier run",
+                both.put(target("a").copy(startedAt = 2)).departed("a"),
+                0,
+                setOf("a", "b")
+            ),
+            Case(
+                "stated, then missing during an outage",
+                both.departed("a").storeLost(at(0)).removed(TargetId("a"), at(0)),
+                10_000,
+                setOf("b")
+            ),
+            Case(
+                "many other targets stated it later",
+                (1..3_000).fold(both.departed("a")) { all, number ->
+                    all.statedLeaving(
+                        TargetIncarnation(TargetId("x-$number"), 1),
+                        at(number * 1_000L)
+                    )
+                },
+                0,
+                setOf("b")
+            ),
             Case(
                 "listed again",
                 both.removed(TargetId("a"), at(0)).put(target("a")),
@@ -95,4 +138,7 @@
             assertEquals(case.expected, usable, case.name)
         }
     }
+
+    private fun TargetDirectory.departed(id: String): TargetDirectory =
+        statedLeaving(target(id).incarnation, at(0))
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
@@ -72,6 +72,15 @@
     public data class Unreadable(public val text: String) : RequestLimit
 }
 
+/** Whether a target that refuses a request wants no others for some time. */
+public sealed interface PauseRequest {
+    public data object None : PauseRequest
+
+    public data class For(public val duration: Duration) : PauseRequest
+
+    public data class Unreadable(public val text: String) : PauseRequest
+}
+
 /**
  * The decoded head of a target's response.
  *
@@ -81,6 +90,8 @@
  * @property sealed whether the response carries the target's signature
  * @property hasContentEncoding whether a content encoding is applied to the body
  * @property idleTimeout time for which the target keeps an idle connection open
+ * @property target the target that answers, if stated
+ * @property isLeaving whether the target states that it leaves
  */
 public data class TargetReply(
     public val status: Int,
@@ -91,7 +102,10 @@
     public val load: ReportedLoad?,
     public val idleTimeout: Duration?,
     public val isMisdirected: Boolean = false,
-    public val requestLimit: RequestLimit = RequestLimit.None
+    public val requestLimit: RequestLimit = RequestLimit.None,
+    public val target: TargetId? = null,
+    public val isLeaving: Boolean = false,
+    public val pause: PauseRequest = PauseRequest.None
 ) {
     public val isSuccess: Boolean get() = status in SUCCESS
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -19,6 +19,7 @@
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.SystemMonotonicClock
+import org.sapphirelever.core.TargetId
 import org.sapphirelever.decisions.forwarding.expectedCallingHosts
 import org.sapphirelever.decisions.forwarding.maximumReadyAge
 import org.sapphirelever.decisions.shutdown.ShutdownTimes
@@ -101,17 +102,17 @@
         }
         child("settings") { settings.follow() }
         child("callers") { serveCallers() }
-        child("readiness") { serveText(profile.readiness) { readiness() to ByteArray(0) } }
+        child("readiness") { serveText(profile.readiness) { readiness() to status() } }
         child("metrics") { serveText(profile.metrics) { OK to metrics.scrape() } }
     }
 
     private suspend fun serveCallers(): Unit = coroutineScope {
         // A failed stage call must not cancel the connections of callers.
         val workScope = CoroutineScope(currentCoroutineContext() + SupervisorJob())
-        val pool = TargetPool(sockets, clock)
+        val pool = TargetPool(sockets, clock) { !isLeaving(it) }
         launch { pool.closeExpired() }
         val calls = TargetCalls(pool, protocol, state)
-        val releases = ResultRelease(workScope, calls, protocol)
+        val releases = ResultRelease(workScope, calls, protocol, state.notices)
         val localExecutor =
             LocalPieceExecutor(workScope, calls, protocol, state, releases, ::callingHosts)
         val executor =
@@ -137,6 +138,11 @@
         }
     }
 
+    private fun isLeaving(target: TargetId): Boolean {
+        val directory = state.directory.value
+        return directory.targets[target]?.let { directory.isLeaving(it.record) } == true
+    }
+
     private fun callingHosts(service: ServiceName): Int =
         expectedCallingHosts(service, state.hosts.value, profile.host)
 
@@ -151,6 +157,9 @@
         return if (ready) OK else UNAVAILABLE
     }
 
+    /** What this host believes of the store and of its targets, for operators. */
+    private fun status(): ByteArray = hostStatus(state).toByteArray()
+
     /** Serves the status and body of [answer] on [endpoint], whatever path is requested. */
     private suspend fun serveText(endpoint: Endpoint, answer: () -> Pair<Int, ByteArray>) {
         sockets.listen(endpoint).use { listener ->
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
@@ -4,6 +4,7 @@
 package org.sapphirelever.runtime.forward
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -41,6 +42,18 @@
         ) {
             state.configuration.value.age(state.readClock())?.toDouble(DurationUnit.SECONDS) ?: -1.0
         }
+        gauge("sapphirelever_targets_leaving", "Targets that leave, by their record or answers") {
+            state.directory.value.leaving().size.toDouble()
+        }
+        gauge("sapphirelever_targets_paused", "Targets that want a pause") {
+            state.notices.currentPauses.size.toDouble()
+        }
+        count("sapphirelever_target_departures_total", "Targets that stated that they leave") {
+            state.notices.departures.get()
+        }
+        count("sapphirelever_target_pause_requests_total", "Refusals that ask for a pause") {
+            state.notices.pauseRequests.get()
+        }
         gauge("sapphirelever_message_memory_held_bytes", "Memory that messages hold") {
             state.memory.heldBytes.toDouble()
         }
@@ -61,6 +74,15 @@
         return body.toByteArray()
     }
 
+    private fun count(name: String, help: String, read: () -> Long) {
+        CounterWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .callback { it.call(read().toDouble()) }
+            .register(registry)
+    }
+
     private fun gauge(name: String, help: String, read: () -> Double) {
         GaugeWithCallback
             .builder()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -59,6 +59,9 @@
     /** Share of this host in the request limits of targets. */
     public val shares: RequestShares = RequestShares(this)
 
+    /** Targets that leave or want a pause, as they stated in their answers. */
+    public val notices: TargetNotices = TargetNotices(this)
+
     /** Signals that the crash evidence of this host should be published. */
     public val crashReportDue: Channel<Unit> = Channel(Channel.CONFLATED)
     private val views: StateCell<PersistentMap<TargetId, TargetView>> =
@@ -105,14 +108,21 @@
 
     /** Usable targets that take another request from this host now. */
     public fun availableTargets(service: ServiceName): List<TargetRecord> =
-        usableTargets(service).filter { shares.wait(it) == Duration.ZERO }
+        usableTargets(service).filter { wait(it) == Duration.ZERO }
+
+    /** Time until [target] takes a request from this host; infinite without a share. */
+    public fun wait(target: TargetRecord): Duration =
+        maxOf(shares.wait(target), notices.pause(target))
+
+    /** Shortest of the waiting times of [targets], or zero if there are none. */
+    internal fun shortestWait(targets: List<TargetRecord>): Duration =
+        targets.minOfOrNull { wait(it) } ?: Duration.ZERO
 
     /**
      * Time until the first usable target takes a request from this host: zero if one does now,
      * infinite if this host has no share in the limit of any.
      */
-    public fun limitWait(service: ServiceName): Duration =
-        shares.shortestWait(usableTargets(service))
+    public fun limitWait(service: ServiceName): Duration = shortestWait(usableTargets(service))
 
     /** Updates the view of [target]. */
     public fun updateView(target: TargetId, change: (TargetView) -> TargetView) {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LimitWait.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LimitWait.kt
@@ -1,5 +1,5 @@
 /*
- * Waiting of one request for targets that are at their request limit.
+ * Waiting of one request for targets that are at their request limit or want a pause.
  */
 package org.sapphirelever.runtime.forward
 
@@ -31,12 +31,25 @@
         return if (wait <= stageTime + maximum) null else pause(wait)
     }
 
-    /** Pause of a caller that may find a share on another host before this one has any. */
-    fun pause(wait: Duration): Duration = wait.coerceIn(RETRY_AFTER, MAXIMUM_PAUSE)
+    /** Whether all usable targets want a pause. */
+    val areAllPaused: Boolean
+        get() = state.usableTargets(service).let { targets ->
+            targets.isNotEmpty() && targets.all { state.notices.pause(it).isPositive() }
+        }
+
+    /**
+     * Pause of a caller after a refusal: the remaining [wait] for the first target that wants no
+     * requests, else a short one, since the caller may find a share in a limit on another host.
+     */
+    fun pause(wait: Duration): Duration =
+        if (areAllPaused && wait.isFinite()) wait else wait.coerceIn(RETRY_AFTER, MAXIMUM_PAUSE)
+
+    /** Cause of a refusal because no target takes the request now. */
+    val cause: String get() = if (areAllPaused) TARGETS_PAUSED else TARGETS_LIMITED
 
     /** Waits until one of [targets] takes a request again; false if that takes too long. */
     suspend fun await(targets: List<TargetRecord>): Boolean {
-        val wait = state.shares.shortestWait(targets)
+        val wait = state.shortestWait(targets)
         if (targets.isEmpty() || waited + wait > maximum) return false
         val pause = wait.coerceAtLeast(POLL_PERIOD)
         waited += pause
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
@@ -203,7 +203,7 @@
             val outcome =
                 calls.call(target, request, null, timeout) { response ->
                     val body = response.body.readWhole(RESULTS_LIMIT_BYTES)
-                    val results = results(response.reply, body, pieces.size)
+                    val results = results(response, body, pieces.size)
                     // An answer without a new handle may be written again and be mistaken for
                     // the answer to the next call.
                     response.isIdentified = results.any { it is PieceResult.Made }
@@ -241,14 +241,19 @@
             is CallOutcome.Completed -> outcome.value
         }
 
-        private fun results(reply: TargetReply, body: ByteArray?, count: Int): List<PieceResult> {
+        private fun results(
+            response: OpenResponse,
+            body: ByteArray?,
+            count: Int
+        ): List<PieceResult> {
+            val reply = response.reply
             val decoded =
                 body?.takeIf { reply.isSuccess }?.let { protocol.stageResults(it, count) }
                     ?: return failed("status ${reply.status}", count)
             val handles = decoded.filterIsInstance<PieceResult.Made>().map { it.handle }
-            val isRepeated =
+            response.isRepeated =
                 handles.any { it in answeredHandles } || handles.distinct().size < handles.size
-            return if (isRepeated) failed("repeated answer", count) else decoded
+            return if (response.isRepeated) failed("repeated answer", count) else decoded
         }
 
         private fun failed(reason: String, count: Int, sent: Boolean = true): List<PieceResult> =
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
@@ -15,6 +15,8 @@
 
 /** Causes of refusals, for the log and the metrics. */
 internal const val TARGETS_LIMITED = "targets-limited"
+internal const val TARGETS_PAUSED = "targets-paused"
+internal const val NO_TARGET = "no-target"
 internal const val SUSPECTED_CRASH = "suspected-crash"
 internal const val STOPPING = "stopping"
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
@@ -78,8 +78,9 @@
 
     /** Refuses a request that is not expected to be served; null if it can start now. */
     private suspend fun refuseAtOnce(): ForwardOutcome? {
+        if (state.usableTargets(granted.service).isEmpty()) return refuse(NO_TARGET, RETRY_AFTER)
         val stageTime = parts.stages.expectedTime(request, route.stages, granted.rank)
-        limitWait.retryAfter(stageTime.current)?.let { return refuse(TARGETS_LIMITED, it) }
+        limitWait.retryAfter(stageTime.current)?.let { return refuse(limitWait.cause, it) }
         if (!parts.shutdown.hasTimeFor(stageTime.current + engineTime)) return refuseStopping()
         if (route.stages.isEmpty()) return null
         return overloadRetryAfter(stageTime)?.let { refuse("stages-overloaded", it) }
@@ -208,9 +209,9 @@
     }
 
     private suspend fun failWithoutTarget(): ForwardOutcome {
-        val wait = state.shares.shortestWait(remainingTargets())
-        if (wait == Duration.ZERO || !hasNotRun) return fail("no-target")
-        return refuse(TARGETS_LIMITED, limitWait.pause(wait))
+        val wait = state.limitWait(granted.service)
+        if (wait == Duration.ZERO || !hasNotRun) return fail(NO_TARGET)
+        return refuse(limitWait.cause, limitWait.pause(wait))
     }
 
     /** Whether no target can have run the request, so that 503 is true. */
@@ -270,11 +271,14 @@
     /** Ends the request without a complete response of a target. */
     private suspend fun fail(cause: String): ForwardOutcome = when {
         response.hasStarted -> ForwardOutcome(0, "stream-broken: $cause")
-        executions == 0 -> refuse(cause, RETRY_AFTER)
+        executions == 0 -> refuse(cause, retryAfterFailure())
         remaining.isPositive() -> refusals.refuse(request, response, BAD_GATEWAY, cause, null)
         else -> refusals.refuse(request, response, GATEWAY_TIMEOUT, cause, null)
     }
 
+    private fun retryAfterFailure(): Duration =
+        if (limitWait.areAllPaused) state.limitWait(granted.service) else RETRY_AFTER
+
     private fun releaseResults() {
         parts.executor.release(results)
         results = persistentListOf()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
@@ -5,7 +5,6 @@
 
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.ZERO
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.coroutines.channels.Channel
 import org.sapphirelever.core.HostId
@@ -120,7 +119,3 @@
         val byTarget = ConcurrentHashMap<TargetIncarnation, SharePlace>()
     }
 }
-
-/** Shortest of the waiting times of these targets, or zero if there are none. */
-internal fun RequestShares.shortestWait(targets: List<TargetRecord>): Duration =
-    targets.minOfOrNull { wait(it) } ?: ZERO
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ResultRelease.kt
@@ -17,7 +17,8 @@
 public class ResultRelease(
     private val scope: CoroutineScope,
     private val calls: TargetCalls,
-    private val protocol: ForwardProtocol
+    private val protocol: ForwardProtocol,
+    private val notices: TargetNotices
 ) {
     private class Release(val result: StageResult, val onReleased: () -> Unit)
 
@@ -34,6 +35,8 @@
         val releases = pending.decide { Decision(persistentListOf<Release>(), it) }
         releases.groupBy { it.result.producer }.forEach { (producer, released) ->
             scope.launch {
+                // A result that outlives the pause is dropped by its producer.
+                delay(notices.pause(producer))
                 val request = protocol.release(producer.id, released.map { it.result.handle })
                 // The answer says nothing of its request; one that is written again is rejected as
                 // the answer to a call for results.
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -48,13 +48,15 @@
  *
  * @property isIdentified whether the response is certain to answer its request. Otherwise the
  *   connection is reused only if the reader of the body sets this.
+ * @property isRepeated whether the reader of the body found that it answers an earlier call
  */
 public class OpenResponse(
     public val head: ResponseHead,
     public val reply: TargetReply,
     public val body: BodyReader,
     public val framing: Framing,
-    public var isIdentified: Boolean
+    public var isIdentified: Boolean,
+    public var isRepeated: Boolean = false
 )
 
 /** Makes calls over the connections of [pool]. */
@@ -77,6 +79,7 @@
         use: suspend (OpenResponse) -> T
     ): CallOutcome<T> {
         if (!timeout.isPositive()) return CallOutcome.NotSent("no time left")
+        state.notices.objection(target)?.let { return CallOutcome.NotSent(it) }
         if (!state.shares.tryTake(target)) return CallOutcome.NotSent("request limit reached")
         val acquired =
             try {
@@ -85,6 +88,11 @@
                 state.recordFailure(target.id)
                 return CallOutcome.NotSent(failure.message.orEmpty())
             }
+        // The answer to another call may have arrived while the connection was opened.
+        state.notices.objection(target)?.let { objection ->
+            pool.release(target.id, acquired.connection, idleTimeout = null)
+            return CallOutcome.NotSent(objection)
+        }
         state.updateView(target.id) { it.copy(outstanding = it.outstanding + 1) }
         val exchange = Exchange(acquired, target, request, id)
         return try {
@@ -136,15 +144,12 @@
             state.shares.record(target, reply.requestLimit)
             val framing = head.headers.responseFraming(request.head.method, head.status)
             val body = TrackedBody(connection.body(framing))
-            val response = OpenResponse(
-                head,
-                reply,
-                body,
-                framing,
-                isIdentified =
-                    id != null && reply.request == id
-            )
+            val isIdentified = id != null && reply.request == id
+            val response = OpenResponse(head, reply, body, framing, isIdentified)
+            // Streams last long, so their notices count before their end.
+            if (id != null) state.notices.record(target, reply)
             val value = use(response)
+            if (id == null && !response.isRepeated) state.notices.record(target, reply)
             val isFinished = body.isComplete && sending.isCompleted && response.isIdentified
             isReusable = isFinished && framing != Framing.UntilClose && !head.closesConnection
             idleTimeout = reply.idleTimeout
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetPool.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetPool.kt
@@ -32,7 +32,12 @@
     public val isReused: Boolean
 )
 
-public class TargetPool(private val sockets: Sockets, private val clock: MonotonicClock) {
+/** Keeps idle connections to the targets that [isInUse]. */
+public class TargetPool(
+    private val sockets: Sockets,
+    private val clock: MonotonicClock,
+    private val isInUse: (TargetId) -> Boolean = { true }
+) {
     private val idle =
         StateCell<PersistentMap<TargetId, PersistentList<IdleConnection>>>(persistentMapOf())
 
@@ -55,7 +60,7 @@
      */
     public fun release(target: TargetId, connection: HttpConnection, idleTimeout: Duration?) {
         val lifetime = (idleTimeout ?: DEFAULT_IDLE_TIMEOUT) - IDLE_MARGIN
-        if (!lifetime.isPositive() || !connection.isIdle) {
+        if (!lifetime.isPositive() || !connection.isIdle || !isInUse(target)) {
             connection.close()
             return
         }
@@ -63,7 +68,7 @@
         idle.update { it.put(target, (it[target] ?: persistentListOf()).add(entry)) }
     }
 
-    /** Closes connections that expired or that their targets closed; runs until cancelled. */
+    /** Closes connections that expired or that no call can use; runs until cancelled. */
     public suspend fun closeExpired() {
         while (true) {
             delay(SWEEP_PERIOD)
@@ -85,7 +90,10 @@
     private fun PersistentMap<TargetId, PersistentList<IdleConnection>>.withoutExpired(
         now: MonotonicTime
     ): Decision<PersistentMap<TargetId, PersistentList<IdleConnection>>, IdleConnection> {
-        val expired = values.flatten().filter { it.expiresAt <= now || !it.connection.isIdle }
+        val expired =
+            entries.flatMap { (target, list) ->
+                list.filter { it.expiresAt <= now || !it.connection.isIdle || !isInUse(target) }
+            }
         if (expired.isEmpty()) return decide()
         val removed = expired.toSet()
         val kept =
