End a call when the kernel has the last byte of its answer

Cause: a call counted as ended when its bytes were in the buffer of the connection, and the process exits with the last call. A connection that closes after a response now ends its output and waits until the kernel has it. Connections close after responses above 64 KiB and after all responses of a host that stops.

--- a/cli/src/test/kotlin/org/sapphirelever/cli/HostMemoryTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/HostMemoryTest.kt
@@ -3,7 +3,6 @@
  */
 package org.sapphirelever.cli
 
-import kotlin.io.path.createTempFile
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -12,18 +11,14 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeout
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.forwarding.HostProfile
 import org.sapphirelever.platform.EndlessTargetStandIn
 import org.sapphirelever.platform.POLL_MILLIS
 import org.sapphirelever.platform.ReplicaStandIn
 import org.sapphirelever.platform.StoreStandIn
-import org.sapphirelever.platform.TEST_TIMEOUT
 import org.sapphirelever.platform.call
 import org.sapphirelever.platform.hostProfile
-import org.sapphirelever.platform.isReady
 
 class HostMemoryTest {
     private data class Case(val name: String, val path: String, val start: String)
@@ -61,22 +56,15 @@
             )
         StoreStandIn(entries).use { store ->
             val profile = hostProfile("entry-1", store.endpoint)
-            val settings = createTempFile("node", ".json").toFile()
-            settings.writeText(settingsJson(profile, revocationMillis = 5_000))
-            val output = createTempFile("host", ".log").toFile()
-            val process = startForward(settings, profile.metrics.port, output, "-Xmx160m")
-            try {
-                runBlocking { withTimeout(TEST_TIMEOUT) { exercise(case, profile) } }
+            withForwardProcess(profile, "-Xmx160m") { process, output ->
+                exercise(case, profile)
                 assertTrue(process.isAlive, case.name)
                 assertFalse("OutOfMemoryError" in output.readText(), case.name)
-            } finally {
-                process.destroyForcibly()
             }
         }
     }
 
     private suspend fun exercise(case: Case, profile: HostProfile) = coroutineScope {
-        while (!isReady(profile)) delay(POLL_MILLIS)
         val others = async {
             List(OTHER_REQUESTS) {
                 delay(POLL_MILLIS)
--- a/cli/src/test/kotlin/org/sapphirelever/cli/TargetNoticeSoakTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/TargetNoticeSoakTest.kt
@@ -5,7 +5,6 @@
 package org.sapphirelever.cli
 
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.io.path.createTempFile
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -15,20 +14,14 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeout
 import org.sapphirelever.core.forwarding.HostProfile
 import org.sapphirelever.platform.NoticeTargetStandIn
-import org.sapphirelever.platform.POLL_MILLIS
 import org.sapphirelever.platform.StoreStandIn
-import org.sapphirelever.platform.TEST_TIMEOUT
 import org.sapphirelever.platform.call
 import org.sapphirelever.platform.hostProfile
-import org.sapphirelever.platform.isReady
 
 /**
  * Guards against requests that reach a target after it stated that it leaves, or within its pause.
@@ -48,21 +41,10 @@
                 ("op/config" to CONFIGURATION)
         StoreStandIn(entries).use { store ->
             val profile = hostProfile("entry-1", store.endpoint)
-            val settings = createTempFile("node", ".json").toFile()
-            settings.writeText(settingsJson(profile, revocationMillis = 5_000))
-            val output = createTempFile("host", ".log").toFile()
-            val process = startForward(settings, profile.metrics.port, output)
-            try {
-                runBlocking(Dispatchers.IO) {
-                    withTimeout(TEST_TIMEOUT) {
-                        while (!isReady(profile)) delay(POLL_MILLIS)
-                        exercise(Random(seed), profile, targets, store, process)
-                    }
-                }
+            withForwardProcess(profile) { process, _ ->
+                exercise(Random(seed), profile, targets, store, process)
                 check(seed, targets)
                 assertTrue(process.isAlive, "seed $seed")
-            } finally {
-                process.destroyForcibly()
             }
         }
         targets.forEach { it.close() }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -88,7 +88,7 @@
                 shutdown.admit(request.id, forwarding.maximumDuration(request)) {
                     cancelOnDisconnect(connection) {
                         forwarding.forward(request, body, arrivedAt, response)
-                    }
+                    }.also { finish(connection, response) }
                 }
             } catch (refused: SapphireleverException) {
                 // A head must never follow the bytes of a response that has begun.
@@ -100,7 +100,16 @@
                 ForwardOutcome(SERVICE_UNAVAILABLE, STOPPING)
             }
         recordFinished(request, outcome, state.clock.now() - arrivedAt)
-        return outcome != null && response.isComplete && response.isKeptAlive
+        return outcome != null && response.isComplete && response.isKeptAlive &&
+            shutdown.announcesReady
+    }
+
+    /** Ends [connection] after a complete [response], unless it serves further requests. */
+    private suspend fun finish(connection: HttpConnection, response: CallerResponse) {
+        val isKept = response.isKeptAlive && shutdown.announcesReady
+        if (response.isComplete && !isKept) {
+            withTimeoutOrNull(limits.idleTimeout) { connection.finish() }
+        }
     }
 
     private suspend fun receiveBody(connection: HttpConnection, head: RequestHead): ByteArray? {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerResponse.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerResponse.kt
@@ -31,12 +31,18 @@
     public var isComplete: Boolean = false
         private set
 
-    /** Whether the connection stays open for further requests. */
-    public var isKeptAlive: Boolean = false
-        private set
+    private var saysKeepAlive = false
+    private var writtenBytes = 0L
+
+    /**
+     * Whether the connection stays open for further requests. The end of the connection shows when
+     * the kernel has the last byte, so it is needed after responses that the kernel may not hold.
+     */
+    public val isKeptAlive: Boolean get() = saysKeepAlive && writtenBytes <= MAXIMUM_KEPT_BYTES
 
     /** Writes a complete response with a known length. */
     public suspend fun send(head: ResponseHead, body: MessageBody) {
+        writtenBytes = body.size.toLong()
         val framed = framed(head, Header(CONTENT_LENGTH, body.size.toString()))
         hasStarted = true
         val blocks = if (omitsBody) emptyList() else body.blocks
@@ -48,12 +54,15 @@
     public suspend fun startStream(head: ResponseHead, part: ByteArray) {
         val framed = framed(head, Header(TRANSFER_ENCODING, "chunked"))
         hasStarted = true
+        writtenBytes += part.size
         connection.write(framed.encoded(), if (part.isEmpty()) part else chunkOf(part))
     }
 
     /** Writes [part] as the next chunk, unless it is empty: an empty chunk would end the body. */
     public suspend fun sendChunk(part: ByteArray) {
-        if (part.isNotEmpty()) connection.write(chunkOf(part))
+        if (part.isEmpty()) return
+        writtenBytes += part.size
+        connection.write(chunkOf(part))
     }
 
     /** Writes the last chunk. Without it the caller detects that the response is truncated. */
@@ -63,10 +72,15 @@
     }
 
     private fun framed(head: ResponseHead, framing: Header): ResponseHead {
-        isKeptAlive = keepAlive()
+        saysKeepAlive = keepAlive()
         val fields = head.headers + framing
         return head.copy(
             headers = if (isKeptAlive) fields else fields + Header(CONNECTION, "close")
         )
     }
+
+    private companion object {
+        /** What the kernel holds of a response even if its caller does not read. */
+        const val MAXIMUM_KEPT_BYTES = 65_536L
+    }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
@@ -9,21 +9,27 @@
 import io.ktor.http.cio.parseResponse
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.availableForRead
+import io.ktor.utils.io.discard
 import io.ktor.utils.io.writeByteArray
 import java.io.Closeable
 import java.io.IOException
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** An HTTP/1.1 connection. At most one task reads and one task writes at a time. */
 public class HttpConnection(private val socket: Socket) : Closeable {
     private val input = socket.openReadChannel()
-    private val output = socket.openWriteChannel(autoFlush = false)
+    private val output = ByteChannel(autoFlush = false)
+
+    /** Passes the bytes of [output] to the kernel. */
+    private val sender = socket.attachForWriting(output)
 
     /** Whether the peer has neither closed the connection nor sent bytes that are still unread. */
     public val isIdle: Boolean get() = !input.isClosedForRead && input.availableForRead == 0
@@ -73,10 +79,26 @@
         blocks.drop(1).forEach { write(it) }
     }
 
+    /**
+     * Ends the output, waits until the kernel has all bytes, and then for the peer to close. To
+     * close at once would reset the connection if the peer had sent something, and a reset
+     * discards what the peer has not received yet.
+     */
+    public suspend fun finish() {
+        convertExceptions { output.flushAndClose() }
+        sender.job.join()
+        withTimeoutOrNull(LINGER_TIME) { input.discard() }
+    }
+
     override fun close() {
         socket.close()
     }
 
+    private companion object {
+        /** Callers close as soon as they have received the last byte. */
+        val LINGER_TIME = 300.milliseconds
+    }
+
     /** Converts exceptions of the parser and the socket to [IOException]. */
     private suspend fun <T> convertExceptions(action: suspend () -> T): T = try {
         action()
