Refuse requests whose bodies find no memory before reading them

Cause: the sum of bodies was not bounded, and each was held up to five times. Bodies now take their length from the memory for messages before they are read, the most urgent rank last to be refused, and are held, hashed and sent in blocks. Callers of rejected requests get their response although they are still sending.

--- a/cli/src/test/kotlin/org/sapphirelever/cli/HostMemoryTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/HostMemoryTest.kt
@@ -3,14 +3,17 @@
  */
 package org.sapphirelever.cli
 
+import java.net.Socket
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.forwarding.HostProfile
 import org.sapphirelever.platform.EndlessTargetStandIn
@@ -47,6 +50,56 @@
         }
     }
 
+    /**
+     * Guards against uploads that together exceed the heap, which stalls the host and closes
+     * connections without an answer. Those that find no room are refused at once.
+     */
+    @Test
+    fun `many large uploads neither exhaust the memory nor delay other requests`() {
+        val targets = List(2) { ReplicaStandIn() }
+        val entries =
+            mapOf(
+                "servers/i-1" to entry("faulty", targets[0].endpoint),
+                "servers/i-2" to entry("sound", targets[1].endpoint),
+                "op/config" to CONFIGURATION
+            )
+        StoreStandIn(entries).use { store ->
+            val profile = hostProfile("entry-1", store.endpoint)
+            withForwardProcess(profile, "-Xmx160m") { process, output ->
+                val others = async { callOthers(profile) }
+                val statuses = List(UPLOADS) { async { upload(profile.callers) } }.awaitAll()
+                assertEquals(setOf("200", "503"), statuses.toSet())
+                assertEquals(setOf(200 to "ok"), others.await().toSet())
+                assertTrue(process.isAlive)
+                assertFalse("OutOfMemoryError" in output.readText())
+            }
+        }
+        targets.forEach { it.close() }
+    }
+
+    /** Sends a body of the largest permitted size; returns the status of the response. */
+    private suspend fun upload(endpoint: Endpoint): String = withContext(Dispatchers.IO) {
+        Socket(endpoint.address, endpoint.port).use { socket ->
+            socket.soTimeout = READ_TIMEOUT_MILLIS
+            val head =
+                "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n" +
+                    "Deadline-Ms: 20000\r\nContent-Length: $BODY_BYTES\r\n\r\n"
+            socket.getOutputStream().write(head.toByteArray())
+            val block = ByteArray(BODY_BYTES / UPLOAD_BLOCKS)
+            repeat(UPLOAD_BLOCKS) {
+                Thread.sleep(BLOCK_PAUSE_MILLIS)
+                socket.getOutputStream().write(block)
+            }
+            socket.getInputStream().bufferedReader().readLine().split(' ')[1]
+        }
+    }
+
+    private suspend fun callOthers(profile: HostProfile): List<Pair<Int, String>> =
+        List(OTHER_REQUESTS) {
+            delay(POLL_MILLIS)
+            call(profile.callers, "/sound/", null)
+        }
+
     private fun run(case: Case, faulty: EndlessTargetStandIn, sound: ReplicaStandIn) {
         val entries =
             mapOf(
@@ -65,12 +118,7 @@
     }
 
     private suspend fun exercise(case: Case, profile: HostProfile) = coroutineScope {
-        val others = async {
-            List(OTHER_REQUESTS) {
-                delay(POLL_MILLIS)
-                call(profile.callers, "/sound/", null)
-            }
-        }
+        val others = async { callOthers(profile) }
         val affected =
             List(REQUESTS) { async { call(profile.callers, case.path, null) } }.awaitAll()
         assertEquals(setOf(502), affected.map { it.first }.toSet(), case.name)
@@ -84,6 +132,13 @@
         /** Requests at a time; their answers together are far larger than the heap. */
         const val REQUESTS = 32
         const val OTHER_REQUESTS = 20
+
+        /** Uploads at a time; their bodies together are larger than the heap. */
+        const val UPLOADS = 48
+        const val BODY_BYTES = 4_194_304
+        const val UPLOAD_BLOCKS = 32
+        const val BLOCK_PAUSE_MILLIS = 20L
+        const val READ_TIMEOUT_MILLIS = 20_000
         const val HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nReplica-Seal: s\r\n"
 
         val CONFIGURATION: String =
@@ -91,7 +146,7 @@
                 """${route("stream", "streaming", "faulty")},""" +
                 """${route("sound", "idempotent", "sound")}],""" +
                 """"services":[{"name":"faulty"},{"name":"sound"}],""" +
-                """"limits":{"max-header-bytes":16384,"max-body-bytes":65536,""" +
+                """"limits":{"max-header-bytes":16384,"max-body-bytes":$BODY_BYTES,""" +
                 """"header-timeout-ms":3000,"idle-timeout-ms":15000}}"""
 
         fun route(name: String, kind: String, service: String): String =
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/keys/Fingerprint.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/keys/Fingerprint.kt
@@ -11,13 +11,17 @@
 @JvmInline
 public value class Fingerprint(public val value: String) {
     public companion object {
-        /** Fingerprint of [parts]; their lengths are hashed, so ("ab", "c") is not ("a", "bc"). */
-        public fun of(vararg parts: String): Fingerprint {
+        /**
+         * Fingerprint of [parts] and of the blocks of a [body], if there is one. The lengths of the
+         * parts are hashed, so ("ab", "c") is not ("a", "bc").
+         */
+        public fun of(vararg parts: String, body: List<ByteArray> = emptyList()): Fingerprint {
             val digest = MessageDigest.getInstance("SHA-256")
             parts.map { it.encodeToByteArray() }.forEach {
                 digest.update(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(it.size).array())
                 digest.update(it)
             }
+            body.forEach { digest.update(it) }
             return Fingerprint(digest.digest().joinToString("") { "%02x".format(it) })
         }
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/AdmittedRequest.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/AdmittedRequest.kt
@@ -8,6 +8,7 @@
 import org.sapphirelever.decisions.forwarding.Admission
 import org.sapphirelever.decisions.suspicion.RequestTrait
 import org.sapphirelever.runtime.transport.MemoryClaim
+import org.sapphirelever.runtime.transport.MessageBody
 
 /**
  * A [request] with its [body] that arrived at [arrivedAt], and the [response] to write.
@@ -16,7 +17,7 @@
  */
 internal class AdmittedRequest(
     val request: CallerRequest,
-    val body: ByteArray,
+    val body: MessageBody,
     val arrivedAt: MonotonicTime,
     val response: CallerResponse,
     val granted: Admission.Granted,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -6,12 +6,14 @@
 
 import java.io.IOException
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.SapphireleverException
 import org.sapphirelever.core.forwarding.CallerLimits
 import org.sapphirelever.runtime.host.GracefulShutdown
@@ -19,6 +21,8 @@
 import org.sapphirelever.runtime.transport.CONTINUE
 import org.sapphirelever.runtime.transport.Framing
 import org.sapphirelever.runtime.transport.HttpConnection
+import org.sapphirelever.runtime.transport.MemoryClaim
+import org.sapphirelever.runtime.transport.MemoryExhaustedException
 import org.sapphirelever.runtime.transport.MessageBody
 import org.sapphirelever.runtime.transport.OversizedMessageException
 import org.sapphirelever.runtime.transport.RequestHead
@@ -67,17 +71,20 @@
                 reject(connection, BAD_REQUEST, invalid.message.orEmpty())
                 return false
             }
-        val body =
-            try {
-                receiveBody(connection, head)
-            } catch (torn: TornMessageException) {
-                reject(connection, BAD_REQUEST, torn.message.orEmpty())
-                return false
-            }
-        if (body == null) {
-            reject(connection, BODY_TOO_LARGE, "body too large")
-            return false
+        return state.memory.claim(forwarding.memoryShare(request)).use { memory ->
+            val body = receiveBody(connection, request, memory) ?: return@use false
+            respond(connection, request, body, arrivedAt)
         }
+    }
+
+    /** Responds to a complete request; false if the connection is to be closed. */
+    private suspend fun respond(
+        connection: HttpConnection,
+        request: CallerRequest,
+        body: MessageBody,
+        arrivedAt: MonotonicTime
+    ): Boolean {
+        val head = request.head
         val keepAlive = !head.headers.hasToken("Connection", "close")
         val response =
             CallerResponse(connection, head.method == "HEAD") {
@@ -112,13 +119,44 @@
         }
     }
 
-    private suspend fun receiveBody(connection: HttpConnection, head: RequestHead): ByteArray? {
+    /**
+     * Receives the body of [request], whose bytes [memory] holds. Returns null if the request was
+     * rejected; one that does not fit into the memory is refused before its body is read.
+     */
+    private suspend fun receiveBody(
+        connection: HttpConnection,
+        request: CallerRequest,
+        memory: MemoryClaim
+    ): MessageBody? {
+        try {
+            readBody(connection, request.head, memory)?.let { return it }
+            reject(connection, BODY_TOO_LARGE, "body too large")
+        } catch (torn: TornMessageException) {
+            reject(connection, BAD_REQUEST, torn.message.orEmpty())
+        } catch (exhausted: MemoryExhaustedException) {
+            val retryAfter = MEMORY_RETRY_AFTER
+            val cause = exhausted.message.orEmpty()
+            reject(connection, SERVICE_UNAVAILABLE, cause, request.id, retryAfter)
+            metrics.recordFinished(ForwardOutcome(SERVICE_UNAVAILABLE, MEMORY_EXHAUSTED), ZERO)
+        }
+        return null
+    }
+
+    /** The body, or null if it is larger than permitted or does not arrive in time. */
+    private suspend fun readBody(
+        connection: HttpConnection,
+        head: RequestHead,
+        memory: MemoryClaim
+    ): MessageBody? {
         val framing = head.headers.requestFraming()
-        if (framing == Framing.Empty) return NO_BODY
-        if (framing is Framing.Length && framing.bytes > limits.bodyBytes) return null
+        if (framing == Framing.Empty) return MessageBody.EMPTY
+        if (framing is Framing.Length) {
+            if (framing.bytes > limits.bodyBytes) return null
+            memory.resize(framing.bytes)
+        }
         if (head.headers.hasToken("Expect", "100-continue")) connection.write(CONTINUE)
         return withTimeoutOrNull(limits.idleTimeout) {
-            connection.body(framing).readWhole(limits.bodyBytes)
+            connection.body(framing).readWhole(limits.bodyBytes, memory)
         }
     }
 
@@ -161,14 +199,25 @@
         }
     }
 
-    /** Rejects an invalid, oversized or incomplete request, whose connection is then closed. */
-    private suspend fun reject(connection: HttpConnection, status: Int, cause: String) {
+    /**
+     * Rejects a request that is invalid, oversized, incomplete or without room. Its connection is
+     * closed then; what the caller is still sending is read, so that it receives the response.
+     */
+    private suspend fun reject(
+        connection: HttpConnection,
+        status: Int,
+        cause: String,
+        request: String? = null,
+        retryAfter: Duration? = null
+    ) {
         logEvent("request-rejected") {
+            "request" to request
             "status" to status
             "cause" to cause
         }
         CallerResponse(connection, omitsBody = false) { false }
-            .send(protocol.refusal(null, status, null), MessageBody.EMPTY)
+            .send(protocol.refusal(request, status, retryAfter), MessageBody.EMPTY)
+        withTimeoutOrNull(limits.headerTimeout) { connection.finish(limits.headerTimeout) }
     }
 
     /** The caller closed its connection before the response was complete. */
@@ -179,7 +228,9 @@
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
         const val HEADER_TOO_LARGE = 431
-        val NO_BODY = ByteArray(0)
+
+        /** Bodies are held for about as long as their requests take. */
+        val MEMORY_RETRY_AFTER = 1.seconds
 
         /** Limits until a configuration is known; until then every request is refused. */
         val DEFAULT_LIMITS =
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
@@ -11,6 +11,7 @@
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.decisions.forwarding.PromptShape
 import org.sapphirelever.decisions.forwarding.RequestIdentity
+import org.sapphirelever.runtime.transport.MessageBody
 import org.sapphirelever.runtime.transport.RequestHead
 import org.sapphirelever.runtime.transport.ResponseHead
 
@@ -149,7 +150,7 @@
 }
 
 /** A request to a target, with its body. */
-public class TargetRequest(public val head: RequestHead, public val body: ByteArray)
+public class TargetRequest(public val head: RequestHead, public val body: MessageBody)
 
 /** Decodes and encodes the messages of callers and targets. */
 public interface ForwardProtocol {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
@@ -17,6 +17,7 @@
 internal const val TARGETS_LIMITED = "targets-limited"
 internal const val TARGETS_PAUSED = "targets-paused"
 internal const val NO_TARGET = "no-target"
+internal const val MEMORY_EXHAUSTED = "memory-exhausted"
 internal const val SUSPECTED_CRASH = "suspected-crash"
 internal const val STOPPING = "stopping"
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -14,6 +14,7 @@
 import org.sapphirelever.decisions.keys.Fingerprint
 import org.sapphirelever.decisions.suspicion.RequestTrait
 import org.sapphirelever.runtime.host.GracefulShutdown
+import org.sapphirelever.runtime.transport.MessageBody
 
 /** Outcome of a request, for the log and the metrics. */
 public data class ForwardOutcome(
@@ -51,7 +52,7 @@
     /** Forwards [request], which arrived at [arrivedAt] with [body], and writes [response]. */
     public suspend fun forward(
         request: CallerRequest,
-        body: ByteArray,
+        body: MessageBody,
         arrivedAt: MonotonicTime,
         response: CallerResponse
     ): ForwardOutcome {
@@ -100,7 +101,7 @@
 
     private suspend fun execute(
         request: CallerRequest,
-        body: ByteArray,
+        body: MessageBody,
         arrivedAt: MonotonicTime,
         response: CallerResponse,
         granted: Admission.Granted
@@ -130,9 +131,18 @@
         return minOf(request.timeout ?: route.timeout, route.timeout) + RESPONSE_GRACE
     }
 
+    /** Share of the memory for messages that [request] may use; urgent ones find room longest. */
+    public fun memoryShare(request: CallerRequest): Double {
+        val table = state.configuration.value.table ?: return COMMON_MEMORY_SHARE
+        val organisation = request.identity.key?.let { table.organisation(it) }
+        val route = table.route(request.identity.host, request.identity.path)
+        val rank = organisation?.rank ?: route?.rank
+        return if (rank == 0) 1.0 else COMMON_MEMORY_SHARE
+    }
+
     private fun traitsOf(
         request: CallerRequest,
-        body: ByteArray,
+        body: MessageBody,
         granted: Admission.Granted
     ): List<RequestTrait> {
         val fingerprint =
@@ -140,7 +150,7 @@
                 granted.organisation?.value.orEmpty(),
                 request.head.method,
                 request.head.target,
-                String(body, Charsets.ISO_8859_1)
+                body = body.blocks
             )
         val parts = request.prompt?.shared ?: persistentListOf()
         return parts.mapIndexed { depth, part -> RequestTrait.ofPromptPart(part.id, depth) } +
@@ -151,6 +161,9 @@
         const val NOT_FOUND = 404
         const val UNAUTHORIZED = 401
 
+        /** The rest of the memory is for requests of the most urgent rank. */
+        const val COMMON_MEMORY_SHARE = 0.8
+
         /** Callers retry on a new connection, which may reach a host that is ready. */
         val NOT_READY_RETRY_AFTER = 200.milliseconds
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -173,7 +173,7 @@
 
         private suspend fun CoroutineScope.send() {
             try {
-                connection.write(request.head.encoded(request.bodyLength()), request.body)
+                connection.write(request.head.encoded(request.bodyLength()), request.body.blocks)
             } catch (_: IOException) {
                 // The target may have responded before it read the whole body; receive() decides.
                 ensureActive()
@@ -220,7 +220,7 @@
 }
 
 private fun TargetRequest.bodyLength(): Int? =
-    if (body.isEmpty() && head.method in METHODS_WITHOUT_BODY) null else body.size
+    if (body.size == 0 && head.method in METHODS_WITHOUT_BODY) null else body.size
 
 private val METHODS_WITHOUT_BODY = setOf("GET", "HEAD", "DELETE", "OPTIONS")
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
@@ -16,6 +16,7 @@
 import io.ktor.utils.io.writeByteArray
 import java.io.Closeable
 import java.io.IOException
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.CancellationException
@@ -80,14 +81,14 @@
     }
 
     /**
-     * Ends the output, waits until the kernel has all bytes, and then for the peer to close. To
-     * close at once would reset the connection if the peer had sent something, and a reset
-     * discards what the peer has not received yet.
+     * Ends the output, waits until the kernel has all bytes, and then up to [linger] for the peer
+     * to close; what it sends meanwhile is discarded. To close at once would reset the connection
+     * if the peer had sent something, and a reset discards what the peer has not received yet.
      */
-    public suspend fun finish() {
+    public suspend fun finish(linger: Duration = LINGER_TIME) {
         convertExceptions { output.flushAndClose() }
         sender.job.join()
-        withTimeoutOrNull(LINGER_TIME) { input.discard() }
+        withTimeoutOrNull(linger) { input.discard() }
     }
 
     override fun close() {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageBody.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageBody.kt
@@ -65,7 +65,7 @@
         val part = next() ?: return collector.toBody()
         if (collector.size + part.size > limit) return null
         collector.add(part)
-        claim.resize(collector.occupied)
+        claim.grow(collector.occupied)
     }
 }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageMemory.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageMemory.kt
@@ -19,20 +19,22 @@
     /** Bytes that messages hold at the moment. */
     public val heldBytes: Long get() = budget.value.held
 
-    /** A claim without any bytes yet. */
-    public fun claim(): MemoryClaim = MemoryClaim(budget)
+    /** A claim without any bytes yet, which may grow while [share] of the memory is not held. */
+    public fun claim(share: Double = 1.0): MemoryClaim = MemoryClaim(budget, share)
 
     private companion object {
         /** The rest of the heap is for the state of the host and for garbage. */
-        const val HEAP_SHARE = 3
+        const val HEAP_SHARE = 4
 
         fun defaultCapacity(): Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE
     }
 }
 
 /** Bytes that are held for one message; [close] returns them. Not thread-safe. */
-public class MemoryClaim internal constructor(private val budget: StateCell<ByteBudget>) :
-    Closeable {
+public class MemoryClaim internal constructor(
+    private val budget: StateCell<ByteBudget>,
+    private val share: Double
+) : Closeable {
     private var held = 0L
 
     /**
@@ -42,11 +44,16 @@
     public fun resize(bytes: Long) {
         val counted = if (bytes <= UNCOUNTED_BYTES) 0 else roundedUp(bytes)
         if (counted == held) return
-        val isGranted = budget.decide { it.resized(held, counted) }.isNotEmpty()
+        val isGranted = budget.decide { it.resized(held, counted, share) }.isNotEmpty()
         if (!isGranted) throw MemoryExhaustedException(bytes)
         held = counted
     }
 
+    /** Like [resize], if the claim has less than [bytes]. */
+    public fun grow(bytes: Long) {
+        if (bytes > held) resize(bytes)
+    }
+
     override fun close() {
         resize(0)
     }
