Record the duration of a request before its connection ends

Logs and metrics of requests whose connection closes afterwards counted the wait for the caller's close, up to 0.3 s, as part of the request. The end is recorded when the response has been written now. The platform's header names of new tests move to its own fixtures, and the scenario of the departure simulation says what its figures mean.

--- a/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcessTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcessTest.kt
@@ -16,6 +16,7 @@
 import org.sapphirelever.core.ExitCode
 import org.sapphirelever.core.forwarding.HostProfile
 import org.sapphirelever.platform.Behaviour
+import org.sapphirelever.platform.CONFIGURATION_KEY
 import org.sapphirelever.platform.POLL_MILLIS
 import org.sapphirelever.platform.ReplicaStandIn
 import org.sapphirelever.platform.StoreStandIn
@@ -37,7 +38,7 @@
                 "servers/i-1" to
                     """{"service":"koder","address":"${target.endpoint}","zone":"z",""" +
                     """"slots":4,"state":"ready"}""",
-                "op/config" to CONFIGURATION
+                CONFIGURATION_KEY to CONFIGURATION
             )
         StoreStandIn(entries).use { store ->
             val profile = hostProfile("entry-1", store.endpoint)
--- a/cli/src/test/kotlin/org/sapphirelever/cli/HostMemoryTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/HostMemoryTest.kt
@@ -16,12 +16,17 @@
 import kotlinx.coroutines.withContext
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.forwarding.HostProfile
+import org.sapphirelever.platform.ANSWER_HEAD
+import org.sapphirelever.platform.CONFIGURATION_KEY
 import org.sapphirelever.platform.EndlessTargetStandIn
+import org.sapphirelever.platform.OTHER_ANSWER_HEAD
 import org.sapphirelever.platform.POLL_MILLIS
+import org.sapphirelever.platform.REFUSAL_HEAD
 import org.sapphirelever.platform.ReplicaStandIn
 import org.sapphirelever.platform.StoreStandIn
 import org.sapphirelever.platform.call
 import org.sapphirelever.platform.hostProfile
+import org.sapphirelever.platform.requestHead
 
 class HostMemoryTest {
     private data class Case(val name: String, val path: String, val start: String)
@@ -29,12 +34,16 @@
     private val cases =
         listOf(
             Case("head", "/once/", "HTTP/1.1 200 OK\r\nA: "),
-            Case("body", "/once/", "$HEAD\r\n"),
-            Case("chunked body", "/once/", "${HEAD}Transfer-Encoding: chunked\r\n\r\nfffffff\r\n"),
-            Case("declared body", "/once/", "${HEAD}Content-Length: 9999999999\r\n\r\n"),
-            Case("body of another answer", "/once/", "HTTP/1.1 200 OK\r\nAttempt-Id: x\r\n\r\n"),
-            Case("body of a refusal", "/once/", "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n"),
-            Case("event", "/stream/", "$HEAD\r\nid: 1\ndata: ")
+            Case("body", "/once/", "$ANSWER_HEAD\r\n"),
+            Case(
+                "chunked body",
+                "/once/",
+                "${ANSWER_HEAD}Transfer-Encoding: chunked\r\n\r\nfffffff\r\n"
+            ),
+            Case("declared body", "/once/", "${ANSWER_HEAD}Content-Length: 9999999999\r\n\r\n"),
+            Case("body of another answer", "/once/", "$OTHER_ANSWER_HEAD\r\n"),
+            Case("body of a refusal", "/once/", "$REFUSAL_HEAD\r\n"),
+            Case("event", "/stream/", "$ANSWER_HEAD\r\nid: 1\ndata: ")
         )
 
     /**
@@ -61,7 +70,7 @@
             mapOf(
                 "servers/i-1" to entry("faulty", targets[0].endpoint),
                 "servers/i-2" to entry("sound", targets[1].endpoint),
-                "op/config" to CONFIGURATION
+                CONFIGURATION_KEY to CONFIGURATION
             )
         StoreStandIn(entries).use { store ->
             val profile = hostProfile("entry-1", store.endpoint)
@@ -81,9 +90,7 @@
     private suspend fun upload(endpoint: Endpoint): String = withContext(Dispatchers.IO) {
         Socket(endpoint.address, endpoint.port).use { socket ->
             socket.soTimeout = READ_TIMEOUT_MILLIS
-            val head =
-                "POST /once/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n" +
-                    "Deadline-Ms: 20000\r\nContent-Length: $BODY_BYTES\r\n\r\n"
+            val head = requestHead("POST", "/once/1", 20_000, "Content-Length: $BODY_BYTES\r\n")
             socket.getOutputStream().write(head.toByteArray())
             val block = ByteArray(BODY_BYTES / UPLOAD_BLOCKS)
             repeat(UPLOAD_BLOCKS) {
@@ -105,7 +112,7 @@
             mapOf(
                 "servers/i-1" to entry("faulty", faulty.endpoint),
                 "servers/i-2" to entry("sound", sound.endpoint),
-                "op/config" to CONFIGURATION
+                CONFIGURATION_KEY to CONFIGURATION
             )
         StoreStandIn(entries).use { store ->
             val profile = hostProfile("entry-1", store.endpoint)
@@ -139,7 +146,6 @@
         const val UPLOAD_BLOCKS = 32
         const val BLOCK_PAUSE_MILLIS = 20L
         const val READ_TIMEOUT_MILLIS = 20_000
-        const val HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nReplica-Seal: s\r\n"
 
         val CONFIGURATION: String =
             """{"version":3,"routes":[${route("once", "non_idempotent", "faulty")},""" +
--- a/cli/src/test/kotlin/org/sapphirelever/cli/SlowReaderStopTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/SlowReaderStopTest.kt
@@ -18,11 +18,13 @@
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.ExitCode
 import org.sapphirelever.platform.Behaviour
+import org.sapphirelever.platform.CONFIGURATION_KEY
 import org.sapphirelever.platform.POLL_MILLIS
 import org.sapphirelever.platform.ReplicaStandIn
 import org.sapphirelever.platform.StoreStandIn
 import org.sapphirelever.platform.TEST_TIMEOUT
 import org.sapphirelever.platform.hostProfile
+import org.sapphirelever.platform.requestHead
 
 class SlowReaderStopTest {
     /** Guards against a process that exits before the kernel has the last byte of an answer. */
@@ -34,7 +36,7 @@
                 "servers/i-1" to
                     """{"service":"koder","address":"${target.endpoint}","zone":"z",""" +
                     """"slots":4,"state":"ready"}""",
-                "op/config" to CONFIGURATION
+                CONFIGURATION_KEY to CONFIGURATION
             )
         StoreStandIn(entries).use { store ->
             val profile =
@@ -56,9 +58,7 @@
         Socket().use { socket ->
             socket.receiveBufferSize = RECEIVE_BUFFER_BYTES
             socket.connect(InetSocketAddress(endpoint.address, endpoint.port))
-            val head =
-                "GET /safe/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 1\r\n" +
-                    "Deadline-Ms: 20000\r\n\r\n"
+            val head = requestHead("GET", "/safe/1", 20_000)
             socket.getOutputStream().write(head.toByteArray())
             val input = socket.getInputStream()
             var line = ""
--- a/cli/src/test/kotlin/org/sapphirelever/cli/TargetNoticeSoakTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/TargetNoticeSoakTest.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.forwarding.HostProfile
+import org.sapphirelever.platform.CONFIGURATION_KEY
 import org.sapphirelever.platform.NoticeTargetStandIn
 import org.sapphirelever.platform.StoreStandIn
 import org.sapphirelever.platform.call
@@ -38,7 +39,7 @@
         val targets = List(TARGETS) { NoticeTargetStandIn() }
         val entries =
             targets.indices.associate { "servers/i-$it" to entry(targets[it]) } +
-                ("op/config" to CONFIGURATION)
+                (CONFIGURATION_KEY to CONFIGURATION)
         StoreStandIn(entries).use { store ->
             val profile = hostProfile("entry-1", store.endpoint)
             withForwardProcess(profile) { process, _ ->
--- a/load/src/main/kotlin/org/sapphirelever/load/experiment/DepartureSimulation.kt
+++ b/load/src/main/kotlin/org/sapphirelever/load/experiment/DepartureSimulation.kt
@@ -31,7 +31,7 @@
  *
  * @property load demand as a share of the capacity of all targets
  * @property stops number of targets that stop, one every [stopGap]
- * @property stay time for which a stopping target serves after its record says so
+ * @property stay time between the first statement of a stopping target and its end
  * @property recordDelay age of the record when the hosts read it, or null if they never do
  * @property isStated whether targets state their departure in their answers
  */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -90,25 +90,26 @@
             CallerResponse(connection, head.method == "HEAD") {
                 keepAlive && shutdown.announcesReady
             }
-        val outcome =
-            try {
-                shutdown.admit(request.id, forwarding.maximumDuration(request)) {
+        try {
+            shutdown.admit(request.id, forwarding.maximumDuration(request)) {
+                val outcome =
                     cancelOnDisconnect(connection) {
                         forwarding.forward(request, body, arrivedAt, response)
-                    }.also { finish(connection, response) }
-                }
-            } catch (refused: SapphireleverException) {
-                // A head must never follow the bytes of a response that has begun.
-                if (response.hasStarted) throw refused
-                response.send(
-                    protocol.refusal(request.id, SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER),
-                    MessageBody.EMPTY
-                )
-                ForwardOutcome(SERVICE_UNAVAILABLE, STOPPING)
+                    }
+                recordFinished(request, outcome, state.clock.now() - arrivedAt)
+                finish(connection, response)
             }
-        recordFinished(request, outcome, state.clock.now() - arrivedAt)
-        return outcome != null && response.isComplete && response.isKeptAlive &&
-            shutdown.announcesReady
+        } catch (refused: SapphireleverException) {
+            // A head must never follow the bytes of a response that has begun.
+            if (response.hasStarted) throw refused
+            response.send(
+                protocol.refusal(request.id, SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER),
+                MessageBody.EMPTY
+            )
+            val outcome = ForwardOutcome(SERVICE_UNAVAILABLE, STOPPING)
+            recordFinished(request, outcome, state.clock.now() - arrivedAt)
+        }
+        return response.isComplete && response.isKeptAlive && shutdown.announcesReady
     }
 
     /** Ends [connection] after a complete [response], unless it serves further requests. */
