Tell a call that cancels itself from one that the stop cancels

The log of the own front end had an error with a stack trace after some answered requests (413, 400): a call that cancels itself, to close its connection, was taken for one that the end of a stop cancels. The callers had their answers already. The end of calls is asked for now wherever a cancellation is classified.

The check accepts 503 only for requests that the target never received, so that a false 503 fails as before.

--- a/cli/src/test/kotlin/org/sapphirelever/cli/HostMemoryTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/HostMemoryTest.kt
@@ -117,20 +117,24 @@
         StoreStandIn(entries).use { store ->
             val profile = hostProfile("entry-1", store.endpoint)
             withForwardProcess(profile, "-Xmx160m") { process, output ->
-                exercise(case, profile)
+                exercise(case, profile, faulty)
                 assertTrue(process.isAlive, case.name)
                 assertFalse("OutOfMemoryError" in output.readText(), case.name)
             }
         }
     }
 
-    private suspend fun exercise(case: Case, profile: HostProfile) = coroutineScope {
-        val others = async { callOthers(profile) }
-        val affected =
-            List(REQUESTS) { async { call(profile.callers, case.path, null) } }.awaitAll()
-        assertEquals(setOf(502), affected.map { it.first }.toSet(), case.name)
-        assertEquals(setOf(200 to "ok"), others.await().toSet(), case.name)
-    }
+    private suspend fun exercise(case: Case, profile: HostProfile, faulty: EndlessTargetStandIn) =
+        coroutineScope {
+            val others = async { callOthers(profile) }
+            val affected =
+                List(REQUESTS) { async { call(profile.callers, case.path, null) } }.awaitAll()
+            // On a busy machine a connection may not open in time; such a request has not run.
+            val (ran, refused) = affected.map { it.first }.partition { it == 502 }
+            assertEquals(faulty.received.get(), ran.size, case.name)
+            assertTrue(ran.isNotEmpty() && refused.all { it == 503 }, "${case.name}: $refused")
+            assertEquals(setOf(200 to "ok"), others.await().toSet(), case.name)
+        }
 
     private fun entry(service: String, endpoint: Endpoint): String =
         """{"service":"$service","address":"$endpoint","zone":"z","slots":4,"state":"ready"}"""
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
@@ -107,9 +107,9 @@
             }
             try {
                 running.await()
-            } catch (_: CancellationException) {
+            } catch (cancelled: CancellationException) {
                 ensureActive()
-                throw StageFailedException(STOPPING)
+                throw if (parts.shutdown.endsCalls) StageFailedException(STOPPING) else cancelled
             } finally {
                 watch.cancel()
             }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
@@ -97,21 +97,19 @@
     private suspend fun <T> cancellable(call: suspend () -> CallOutcome<T>): CallOutcome<T> =
         coroutineScope {
             val calling = async { call() }
-            var reason = STOPPING
             val stopWatch = launch {
                 parts.shutdown.awaitCallsEnd()
                 calling.cancel()
             }
             val blockWatch = launch {
                 guard.awaitCancellingBlock(admitted.traits)
-                if (isTrial || firstEventAt != null) return@launch
-                reason = SUSPECTED_CRASH
-                calling.cancel()
+                if (!isTrial && firstEventAt == null) calling.cancel()
             }
             try {
                 calling.await()
             } catch (_: CancellationException) {
                 ensureActive()
+                val reason = if (parts.shutdown.endsCalls) STOPPING else SUSPECTED_CRASH
                 CallOutcome.Lost(reason, broken = false)
             } finally {
                 stopWatch.cancel()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/GracefulShutdown.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/GracefulShutdown.kt
@@ -48,6 +48,9 @@
     /** Number of calls that have not been answered. */
     public val outstanding: Int get() = state.value.inFlight.size
 
+    /** Whether calls in flight have been told to end. */
+    public val endsCalls: Boolean get() = callsEnd.isCompleted
+
     /** Whether work of [duration] that starts now ends before the host stops. */
     public fun hasTimeFor(duration: Duration): Boolean =
         state.value.hasTimeFor(duration, clock.now())
@@ -101,8 +104,10 @@
         }
         try {
             calling.await()
-        } catch (_: CancellationException) {
+        } catch (cancelled: CancellationException) {
             ensureActive()
+            // The call may also have cancelled itself, for example to close its connection.
+            if (!endsCalls) throw cancelled
             throw SapphireleverException(ErrorCode.STOPPED)
         } finally {
             watch.cancel()
