Check a configuration of forwarding hosts before it is sent

Operators learned of a wrong configuration when callers lost requests: the check knew files of resources only. Findings have stable codes, a place with its line, and a suggestion.

--- a/cli/src/main/kotlin/org/sapphirelever/cli/ResourceCommands.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ResourceCommands.kt
@@ -158,25 +158,6 @@
     }
 }
 
-/** Checks a resource file, and the names of environment variables, without calling a host. */
-public object CheckCommand : Command {
-    override val name: String get() = "check"
-    override val summary: String
-        get() = "Checks a resource file and the names of environment variables, offline."
-    override val arguments: List<ArgumentDeclaration> get() = listOf(FILE)
-
-    override suspend fun run(invocation: Invocation): ExitCode {
-        val file = invocation.argument("FILE")
-        val resources = readResourceFile(file, readText(file)).validOrThrow()
-        invocation.output.println(
-            "$file is valid: ${resources.services.size} services, " +
-                "${resources.pipelines.size} pipelines, " +
-                "${resources.organisations.size} organisations"
-        )
-        return ExitCode.SUCCESS
-    }
-}
-
 /** Reads [file]; an unreadable file counts as an invalid resource. */
 internal fun readText(file: String): String = try {
     File(file).readText()
--- a/core/src/main/kotlin/org/sapphirelever/core/ExitCode.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/ExitCode.kt
@@ -7,6 +7,7 @@
 public enum class ExitCode(public val number: Int, public val meaning: String) {
     SUCCESS(0, "The command succeeded, or the process stopped gracefully."),
     FAILURE(1, "The operation failed; the message tells the error code."),
+    UNREADABLE(2, "The file to be checked cannot be read."),
     USAGE(64, "The command line cannot be understood."),
     INVALID_RESOURCE(65, "The resource file is invalid; all findings are printed."),
     UNAVAILABLE(69, "The entry host or service does not answer."),
--- a/core/src/main/kotlin/org/sapphirelever/core/Finding.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/Finding.kt
@@ -26,9 +26,24 @@
     }
 }
 
-/** A validation error and its location. */
-public data class Finding(public val place: Place, public val message: String) {
-    override fun toString(): String = "$place: $message"
+/**
+ * A validation error and its location.
+ *
+ * @property code stable code of the rule, or null for rules without one
+ * @property suggestion what to change, or empty if the message says it
+ */
+public data class Finding(
+    public val place: Place,
+    public val message: String,
+    public val code: CheckCode? = null,
+    public val suggestion: String = ""
+) {
+    override fun toString(): String = buildString {
+        append(place).append(": ")
+        if (code != null) append('[').append(code.text).append("] ")
+        append(message)
+        if (suggestion.isNotEmpty()) append("; ").append(suggestion)
+    }
 }
 
 /** Accumulates the findings of one validation. */
@@ -43,7 +58,11 @@
     }
 
     public fun report(place: Place, message: String) {
-        collected = collected.add(Finding(place, message))
+        report(Finding(place, message))
+    }
+
+    public fun report(finding: Finding) {
+        collected = collected.add(finding)
     }
 }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageMemory.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageMemory.kt
@@ -22,11 +22,14 @@
     /** A claim without any bytes yet, which may grow while [share] of the memory is not held. */
     public fun claim(share: Double = 1.0): MemoryClaim = MemoryClaim(budget, share)
 
-    private companion object {
+    public companion object {
         /** The rest of the heap is for the state of the host and for garbage. */
-        const val HEAP_SHARE = 4
+        private const val HEAP_SHARE = 4
+
+        /** Memory for messages in a heap of [heapBytes]. */
+        public fun capacityOf(heapBytes: Long): Long = heapBytes / HEAP_SHARE
 
-        fun defaultCapacity(): Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE
+        private fun defaultCapacity(): Long = capacityOf(Runtime.getRuntime().maxMemory())
     }
 }
 
