--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
@@ -18,6 +18,8 @@
  * @property store address of the platform's store
  * @property shutdownGracePeriod time between SIGTERM and SIGKILL
  * @property maximumRevocationDelay time within which every host must reject a withdrawn key
+ * @property maximumConfigurationDelay time within which a change of the configuration must be in
+ *   force at every host that the store reaches
  * @property retryBudgetRatio retries that all hosts may make in one window, as a share of requests
  * @property retryBudgetExtra retries that all hosts may make in one window beyond that share
  * @property retryBudgetWindow length of the window of the retry budget
@@ -34,6 +36,7 @@
     public val store: Endpoint,
     public val shutdownGracePeriod: Duration,
     public val maximumRevocationDelay: Duration,
+    public val maximumConfigurationDelay: Duration,
     public val retryBudgetRatio: Double,
     public val retryBudgetExtra: Int,
     public val retryBudgetWindow: Duration,
@@ -46,6 +49,7 @@
     /** This profile with those settings of [other] that take effect without a restart. */
     public fun withBoundsOf(other: HostProfile): HostProfile = copy(
         maximumRevocationDelay = other.maximumRevocationDelay,
+        maximumConfigurationDelay = other.maximumConfigurationDelay,
         retryBudgetRatio = other.retryBudgetRatio,
         retryBudgetExtra = other.retryBudgetExtra,
         retryBudgetWindow = other.retryBudgetWindow,
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/AdmissionDecision.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/AdmissionDecision.kt
@@ -39,18 +39,25 @@
 }
 
 /**
- * Admits or rejects a request. Keys are accepted only if the store confirmed the configuration
- * within [maximumAge] before [now].
+ * Bounds on the use of a configuration.
+ *
+ * @property age time since its confirmation up to which keys are accepted
+ * @property delay time for which it applies, on any route, while the store sends changes that may
+ *   replace it
  */
+public data class ConfigurationBounds(public val age: Duration, public val delay: Duration)
+
+/** Admits or rejects a request that arrives at [now]; an old configuration applies in [bounds]. */
 public fun CachedConfiguration.admit(
     identity: RequestIdentity,
     now: ClockReading,
-    maximumAge: Duration
+    bounds: ConfigurationBounds
 ): Admission {
     val table = table ?: return Admission.NotReady
     val age = age(now) ?: return Admission.NotReady
+    if (isSuperseded(now, bounds.delay)) return Admission.Unconfirmed(age)
     val route = table.route(identity.host, identity.path)
-    if (age > maximumAge && route?.anonymous != true) return Admission.Unconfirmed(age)
+    if (age > bounds.age && route?.anonymous != true) return Admission.Unconfirmed(age)
     if (route == null) return Admission.UnknownRoute
     val service = route.serviceFor(identity.request)
     if (route.anonymous || table.configuration.organisations.isEmpty()) {
@@ -69,4 +76,15 @@
 public fun maximumConfigurationAge(maximumRevocationDelay: Duration): Duration =
     (maximumRevocationDelay - REVOCATION_MARGIN).coerceAtLeast(Duration.ZERO)
 
+/**
+ * Time for which a configuration applies while the store sends changes, so that each change is in
+ * force within [maximumDelay]. The margin covers the pause before the call for changes.
+ */
+public fun maximumSupersededTime(maximumDelay: Duration): Duration =
+    (maximumDelay - CALL_MARGIN).coerceAtLeast(Duration.ZERO)
+
+private fun CachedConfiguration.isSuperseded(now: ClockReading, maximumTime: Duration): Boolean =
+    supersededSince?.let { now.since(it) > maximumTime } == true
+
 private val REVOCATION_MARGIN = 1_000.milliseconds
+private val CALL_MARGIN = 1_000.milliseconds
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/CachedConfiguration.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/CachedConfiguration.kt
@@ -18,10 +18,17 @@
         maxOf(monotonic - earlier.monotonic, (wallMillis - earlier.wallMillis).milliseconds)
 }
 
-/** The adopted configuration and the time at which the store last confirmed it. */
+/**
+ * The adopted configuration.
+ *
+ * @property confirmedAt time at which the store last confirmed it
+ * @property supersededSince time since which the store sends changes that are not applied yet,
+ *   which may replace the configuration; null if there are none
+ */
 public data class CachedConfiguration(
     public val table: RouteTable? = null,
-    public val confirmedAt: ClockReading? = null
+    public val confirmedAt: ClockReading? = null,
+    public val supersededSince: ClockReading? = null
 ) {
     public val version: Long get() = table?.configuration?.version ?: 0
 
@@ -40,4 +47,12 @@
 
 /** Records that the store answered a call that was sent at [sentAt]. */
 public fun CachedConfiguration.confirmed(sentAt: ClockReading): CachedConfiguration =
-    copy(confirmedAt = sentAt)
+    copy(confirmedAt = sentAt, supersededSince = null)
+
+/** Records that an answer with changes begins to arrive. */
+public fun CachedConfiguration.changesArrive(now: ClockReading): CachedConfiguration =
+    if (supersededSince == null) copy(supersededSince = now) else this
+
+/** Records that the store cannot be reached, so that nothing is known of its changes. */
+public fun CachedConfiguration.storeUnreachable(): CachedConfiguration =
+    if (supersededSince == null) this else copy(supersededSince = null)
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreWatch.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreWatch.kt
@@ -91,6 +91,13 @@
     return left.coerceIn(SHORTEST_WAIT, LONGEST_WAIT)
 }
 
+/**
+ * Whether a listing is shorter than an answer of [answerBytes] with changes. A listing holds only
+ * the latest version of each entry; the last one had [listingBytes].
+ */
+public fun isListingShorter(answerBytes: Long, listingBytes: Long): Boolean =
+    answerBytes > maxOf(listingBytes, SHORT_ANSWER_BYTES)
+
 /**
  * Age of the last confirmation of the configuration up to which a host reports ready. It never
  * exceeds the age above which keys are refused, because a host that refuses keys must not receive
@@ -108,6 +115,9 @@
 /** Time of an answer beyond the wait, with a slow store. */
 private val ANSWER_TIME = 300.milliseconds
 
+/** An answer of this size takes less time than another call on all but the slowest links. */
+private const val SHORT_ANSWER_BYTES = 131_072L
+
 private val SHORTEST_WAIT = 1.milliseconds
 
 /** A connection that went silent is noticed after this time and that of an answer. */
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/AdmissionDecisionTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/AdmissionDecisionTest.kt
@@ -30,7 +30,10 @@
         val expected: String
     )
 
-    /** Guards against 404 while no configuration is loaded, and against accepting revoked keys. */
+    /**
+     * Guards against 404 while no configuration is loaded, against accepting revoked keys, and
+     * against routes that are served by a configuration that the host knows to be old.
+     */
     private val cases =
         listOf(
             Case("longest prefix", expected = "narrow for krakow rank 1"),
@@ -71,6 +74,49 @@
                 key = null,
                 now = clockReading(60_000),
                 expected = "open for null rank 2"
+            ),
+            Case(
+                "an anonymous route while changes begin to arrive",
+                host = "open.example",
+                key = null,
+                now = clockReading(2_500),
+                configuration = configured.changesArrive(clockReading(1_500)),
+                expected = "open for null rank 2"
+            ),
+            Case(
+                "an anonymous route while changes arrive for too long",
+                host = "open.example",
+                key = null,
+                now = clockReading(2_501),
+                configuration =
+                    configured
+                        .changesArrive(clockReading(1_500))
+                        .changesArrive(clockReading(2_400)),
+                expected = "Unconfirmed"
+            ),
+            Case(
+                "an unknown route while changes arrive for too long",
+                host = "b.example",
+                now = clockReading(2_600),
+                configuration = configured.changesArrive(clockReading(1_500)),
+                expected = "Unconfirmed"
+            ),
+            Case(
+                "an anonymous route once the store cannot be reached",
+                host = "open.example",
+                key = null,
+                now = clockReading(60_000),
+                configuration = configured.changesArrive(clockReading(1_500)).storeUnreachable(),
+                expected = "open for null rank 2"
+            ),
+            Case(
+                "an anonymous route once the changes are applied",
+                host = "open.example",
+                key = null,
+                now = clockReading(4_000),
+                configuration =
+                    configured.changesArrive(clockReading(500)).confirmed(clockReading(600)),
+                expected = "open for null rank 2"
             )
         )
 
@@ -82,7 +128,10 @@
                 (case.configuration ?: configured).admit(
                     identity,
                     case.now,
-                    maximumConfigurationAge(5.seconds)
+                    ConfigurationBounds(
+                        maximumConfigurationAge(5.seconds),
+                        maximumSupersededTime(2.seconds)
+                    )
                 )
             assertEquals(case.expected, text(admission), case.name)
         }
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreWatchTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreWatchTest.kt
@@ -50,6 +50,20 @@
         }
     }
 
+    /** Guards against reading every version of an entry over a link that carries only the last. */
+    @Test
+    fun `a listing replaces an answer that is longer`() {
+        listOf(
+            Triple(1_000_000L, 250_000L, true),
+            Triple(250_000L, 250_000L, false),
+            Triple(250_001L, 250_000L, true),
+            Triple(131_072L, 2_000L, false),
+            Triple(131_073L, 2_000L, true)
+        ).forEach { (answer, listing, isShorter) ->
+            assertEquals(isShorter, isListingShorter(answer, listing), "$answer, $listing")
+        }
+    }
+
     private data class Pause(
         val name: String,
         val busyCalls: Int,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -47,13 +47,42 @@
  * Entries up to [revision].
  *
  * @property isFullListing whether these are all entries; any other known entry no longer exists
+ * @property bytes size of the answer that held them
  */
 public data class StoreEntries(
     public val entries: PersistentList<StoreEntry>,
     public val revision: Long,
-    public val isFullListing: Boolean
+    public val isFullListing: Boolean,
+    public val bytes: Long = 0
 )
 
+/** How a call for changes ended. */
+public sealed interface StoreChanges {
+    /** The whole answer arrived. */
+    public data class Whole(public val entries: StoreEntries) : StoreChanges
+
+    /** The answer broke off with [failure]; [entries] arrived before. */
+    public data class CutOff(
+        public val entries: StoreEntries,
+        public val failure: java.io.IOException
+    ) : StoreChanges
+
+    /** The answer was not read to its end because it is longer than a listing. */
+    public data object TooLong : StoreChanges
+
+    /** The store has compacted the history of these changes. */
+    public data object HistoryGone : StoreChanges
+}
+
+/** Decides whether an answer is read to its end. */
+public fun interface AnswerReader {
+    /**
+     * Called when the head of an answer has arrived, and again after each part of one that states
+     * no length. [bytes] is the stated length, or else what has arrived.
+     */
+    public fun readsOn(bytes: Long): Boolean
+}
+
 /** A lease in the store that this process holds. */
 public data class StoreLease(public val id: Long, public val lifetime: Duration)
 
@@ -67,10 +96,10 @@
     public suspend fun entries(): StoreEntries
 
     /**
-     * Entries changed after [revision], or null if the store has compacted that history. If there
-     * are none, the store waits for the next change for up to [wait].
+     * Entries changed after [revision]. If there are none, the store waits for the next change for
+     * up to [wait]. The answer is read while [reader] permits.
      */
-    public suspend fun changes(revision: Long, wait: Duration): StoreEntries?
+    public suspend fun changes(revision: Long, wait: Duration, reader: AnswerReader): StoreChanges
 
     /** Announces [host] under a new lease of [lifetime]. */
     public suspend fun announce(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -9,8 +9,10 @@
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.decisions.forwarding.Admission
+import org.sapphirelever.decisions.forwarding.ConfigurationBounds
 import org.sapphirelever.decisions.forwarding.admit
 import org.sapphirelever.decisions.forwarding.maximumConfigurationAge
+import org.sapphirelever.decisions.forwarding.maximumSupersededTime
 import org.sapphirelever.decisions.keys.Fingerprint
 import org.sapphirelever.decisions.suspicion.RequestTrait
 import org.sapphirelever.runtime.host.GracefulShutdown
@@ -56,10 +58,14 @@
         arrivedAt: MonotonicTime,
         response: CallerResponse
     ): ForwardOutcome {
-        val maximumAge = maximumConfigurationAge(state.profile.maximumRevocationDelay)
+        val bounds =
+            ConfigurationBounds(
+                maximumConfigurationAge(state.profile.maximumRevocationDelay),
+                maximumSupersededTime(state.profile.maximumConfigurationDelay)
+            )
         return when (
             val admission =
-                state.configuration.value.admit(request.identity, state.readClock(), maximumAge)
+                state.configuration.value.admit(request.identity, state.readClock(), bounds)
         ) {
             Admission.NotReady ->
                 refusals.refuse(
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -22,13 +22,16 @@
 import org.sapphirelever.decisions.forwarding.WatchCall
 import org.sapphirelever.decisions.forwarding.WatchSchedule
 import org.sapphirelever.decisions.forwarding.adopted
+import org.sapphirelever.decisions.forwarding.changesArrive
 import org.sapphirelever.decisions.forwarding.confirmed
+import org.sapphirelever.decisions.forwarding.isListingShorter
 import org.sapphirelever.decisions.forwarding.listed
 import org.sapphirelever.decisions.forwarding.maximumReadyAge
 import org.sapphirelever.decisions.forwarding.put
 import org.sapphirelever.decisions.forwarding.removed
 import org.sapphirelever.decisions.forwarding.storeAnswered
 import org.sapphirelever.decisions.forwarding.storeLost
+import org.sapphirelever.decisions.forwarding.storeUnreachable
 import org.sapphirelever.decisions.forwarding.watchWait
 import org.sapphirelever.decisions.suspicion.CrashEvidence
 import org.sapphirelever.runtime.log.logEvent
@@ -39,6 +42,12 @@
     private var revision: Long? = null
     private var isLost = false
 
+    /** Size of the last listing. */
+    private var listingBytes = 0L
+
+    /** Whether any byte of the answer to the latest call arrived. */
+    private var hasAnswerBegun = false
+
     /** Reasons of the unreadable entries that are already logged, by key. */
     private var unreadable: PersistentMap<String, String> = persistentMapOf()
 
@@ -160,17 +169,54 @@
         }
     }
 
-    /** Reads the changes after the known revision, or everything if there is none. */
+    /**
+     * Reads the changes after the known revision. Lists all entries if no revision is known, and if
+     * the changes are no longer kept or take longer to receive than a listing.
+     */
     private suspend fun read(wait: Duration): WatchCall {
+        hasAnswerBegun = false
+        val known = revision ?: return list()
+        val sentAt = state.readClock()
+        when (val changes = store.changes(known, wait, ::readsOn)) {
+            is StoreChanges.Whole -> {
+                val answeredAt = state.readClock()
+                adopt(changes.entries)
+                return WatchCall(sentAt, answeredAt, wait, changes.entries.entries.isNotEmpty())
+            }
+
+            is StoreChanges.CutOff -> {
+                adopt(changes.entries)
+                throw changes.failure
+            }
+
+            StoreChanges.TooLong -> logEvent("store-changes-long") { "after" to known }
+
+            StoreChanges.HistoryGone -> {
+                state.configuration.update { it.changesArrive(state.readClock()) }
+                logEvent("store-history-gone") { "after" to known }
+            }
+        }
+        return list()
+    }
+
+    private suspend fun list(): WatchCall {
         val sentAt = state.readClock()
-        val known = revision
-        val changes = known?.let { store.changes(it, wait) }
-        if (known != null && changes == null) logEvent("store-history-gone") { "after" to known }
-        val received = changes ?: store.entries()
+        val listing = store.entries()
         val answeredAt = state.readClock()
+        listingBytes = listing.bytes
+        adopt(listing)
+        return WatchCall(sentAt, answeredAt, Duration.ZERO, listing.entries.isNotEmpty())
+    }
+
+    private fun adopt(received: StoreEntries) {
         apply(received)
-        revision = maxOf(received.revision, known ?: 0)
-        return WatchCall(sentAt, answeredAt, wait, received.entries.isNotEmpty())
+        revision = maxOf(received.revision, revision ?: 0)
+    }
+
+    private fun readsOn(answerBytes: Long): Boolean {
+        hasAnswerBegun = true
+        state.configuration.update { it.changesArrive(state.readClock()) }
+        return !isListingShorter(answerBytes, listingBytes)
     }
 
     private fun recordAnswer(call: WatchCall) {
@@ -183,6 +229,7 @@
 
     private fun recordLoss(failure: IOException) {
         state.directory.update { it.storeLost(state.clock.now()) }
+        if (!hasAnswerBegun) state.configuration.update { it.storeUnreachable() }
         if (isLost) return
         isLost = true
         logWarning("store-lost") { "failure" to failure.message }
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/SettingsWatchTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/SettingsWatchTest.kt
@@ -30,6 +30,7 @@
         store = Endpoint("127.0.0.1", 5),
         shutdownGracePeriod = 8.seconds,
         maximumRevocationDelay = maximumRevocationDelay,
+        maximumConfigurationDelay = 2.seconds,
         retryBudgetRatio = 0.2,
         retryBudgetExtra = 60,
         retryBudgetWindow = 10.seconds,
