Empty data centres on request and limit requests to cold targets

Requests went to the targets of a data centre that the operator wanted emptied, since nothing read the entry. Nothing read the rate that a target takes while it is cold either.

The directory of targets now holds the evacuations, ordered by revision of the store. Targets in emptied data centres are not usable, and calls check once more when their connection is open. Hosts pass evacuations on over their links for stage work.

--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/ForwardingConfiguration.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/ForwardingConfiguration.kt
@@ -105,19 +105,29 @@
     public val resultLifetime: Duration
 )
 
+/**
+ * What a cold target takes.
+ *
+ * @property period time for which a target is cold after its start
+ * @property requestsPerSecond requests that it takes from all hosts together while it is cold
+ */
+public data class WarmUp(public val period: Duration, public val requestsPerSecond: Double)
+
 /**
  * A service whose targets answer the requests of routes or run their stages.
  *
  * @property maximumConnections greatest number of connections of all hosts to one target
  * @property engine limits of its targets if they are model engines
  * @property batching limits of its targets if they run stages
+ * @property warmUp limit of its targets while they are cold, if there is one
  */
 public data class ForwardedService(
     public val name: ServiceName,
     public val healthPath: String,
     public val maximumConnections: Int,
     public val engine: EngineLimits? = null,
-    public val batching: BatchLimits? = null
+    public val batching: BatchLimits? = null,
+    public val warmUp: WarmUp? = null
 )
 
 /**
--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
@@ -8,6 +8,12 @@
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.HostId
 
+/**
+ * Requests that a cold target bears in any second: its rate times [overshoot] plus [slack]. Without
+ * a setting it bears no more than its rate.
+ */
+public data class ColdTolerance(public val overshoot: Double = 1.0, public val slack: Double = 0.0)
+
 /**
  * Settings of one forwarding host.
  *
@@ -23,6 +29,7 @@
  * @property retryBudgetWindow length of the window of the retry budget
  * @property minimumLeaseTtl shortest lease duration that the store grants
  * @property capacityPercent capacity in percent of a host that can make all calls of a service
+ * @property coldTolerance requests that a cold target bears beyond its rate
  */
 public data class HostProfile(
     public val host: HostId,
@@ -38,7 +45,8 @@
     public val retryBudgetExtra: Int,
     public val retryBudgetWindow: Duration,
     public val minimumLeaseTtl: Duration,
-    public val capacityPercent: Int
+    public val capacityPercent: Int,
+    public val coldTolerance: ColdTolerance = ColdTolerance()
 ) {
     /** Announcement of this host to the others. */
     public val announcement: HostAnnouncement get() = HostAnnouncement(peers, capacityPercent)
@@ -49,6 +57,7 @@
         retryBudgetRatio = other.retryBudgetRatio,
         retryBudgetExtra = other.retryBudgetExtra,
         retryBudgetWindow = other.retryBudgetWindow,
-        minimumLeaseTtl = other.minimumLeaseTtl
+        minimumLeaseTtl = other.minimumLeaseTtl,
+        coldTolerance = other.coldTolerance
     )
 }
--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/TargetRecord.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/TargetRecord.kt
@@ -3,6 +3,7 @@
  */
 package org.sapphirelever.core.forwarding
 
+import kotlin.time.Duration
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.ServiceName
@@ -14,6 +15,7 @@
  * @property leaving whether it has announced its shutdown
  * @property startedAt start time in milliseconds on the wall clock of the target; it differs after
  *   a restart under the same identity
+ * @property coldFor time for which it stays cold, counted from when the record is read
  */
 public data class TargetRecord(
     public val id: TargetId,
@@ -22,7 +24,8 @@
     public val dataCentre: DataCentre,
     public val slots: Int,
     public val leaving: Boolean,
-    public val startedAt: Long? = null
+    public val startedAt: Long? = null,
+    public val coldFor: Duration = Duration.ZERO
 ) {
     public val incarnation: TargetIncarnation get() = TargetIncarnation(id, startedAt)
 }
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
@@ -6,6 +6,7 @@
 package org.sapphirelever.decisions.forwarding
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentMap
@@ -17,15 +18,39 @@
 import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.core.forwarding.TargetRecord
 
-/** A record as last seen; [missingSince] is set if the store no longer has it. */
+/**
+ * A record as last seen.
+ *
+ * @property missingSince since when the store no longer has it
+ * @property returnedAt when this run of the target was listed for the first time, or again after
+ *   its record was missing; it may have turned cold shortly before
+ * @property coldUntil end of the time for which it stays cold, as it stated itself
+ * @property wasLost whether a connection of this host to it failed or broke, and none was opened
+ *   since; it may have restarted although its record does not say so
+ */
 public data class ListedTarget(
     public val record: TargetRecord,
-    public val missingSince: MonotonicTime? = null
-)
+    public val missingSince: MonotonicTime? = null,
+    public val returnedAt: MonotonicTime? = null,
+    public val coldUntil: MonotonicTime? = null,
+    public val wasLost: Boolean = false
+) {
+    internal fun statedCold(duration: Duration, now: MonotonicTime): ListedTarget {
+        if (!duration.isPositive()) return this
+        val end = now + minOf(duration, LONGEST_COLD_PERIOD)
+        return copy(coldUntil = maxOf(coldUntil ?: end, end))
+    }
+
+    private companion object {
+        /** Longer than targets stay cold; bounds the effect of a mistaken value. */
+        val LONGEST_COLD_PERIOD = 1.minutes
+    }
+}
 
 /**
  * Known targets.
  *
+ * @property evacuations data centres whose targets must get nothing
  * @property departures targets that stated in an answer that they leave, and when; a statement
  *   holds until the target restarts, whatever its record says
  * @property storeUnavailable whether the last call to the store failed
@@ -37,7 +62,8 @@
     public val storeUnavailable: Boolean = false,
     public val recoveredAt: MonotonicTime? = null,
     public val outageSince: MonotonicTime? = null,
-    public val departures: PersistentMap<TargetIncarnation, MonotonicTime> = persistentMapOf()
+    public val departures: PersistentMap<TargetIncarnation, MonotonicTime> = persistentMapOf(),
+    public val evacuations: Evacuations = Evacuations()
 ) {
     internal fun isRecovering(now: MonotonicTime): Boolean =
         storeUnavailable || recoveredAt?.let { now - it < RECOVERY_PERIOD } == true
@@ -55,10 +81,11 @@
         .associateWith { departures[it.incarnation] }
 
     private fun ListedTarget.isUsable(now: MonotonicTime): Boolean =
-        !isLeaving(record) && (missingSince == null || mayHaveExpired(missingSince, now))
+        !isLeaving(record) && !evacuations.isEmptied(record.dataCentre) &&
+            (missingSince == null || mayHaveExpired(missingSince, now))
 
     /** Whether an outage, and not the end of the target, may be why a record is missing. */
-    private fun mayHaveExpired(missingSince: MonotonicTime, now: MonotonicTime): Boolean =
+    internal fun mayHaveExpired(missingSince: MonotonicTime, now: MonotonicTime): Boolean =
         isRecovering(now) && outageSince?.let { missingSince >= it } == true
 
     /** Targets of [service] that may take new work. */
@@ -66,15 +93,64 @@
         .filter { it.record.service == service && it.isUsable(now) }
         .map { it.record }
 
+    /**
+     * How much longer [target] may be cold, if targets of its service are cold for [period] after
+     * their start and after their data centre was emptied; zero if it is warm.
+     */
+    public fun coldFor(target: TargetRecord, period: Duration, now: MonotonicTime): Duration {
+        val listed = targets[target.id]?.takeIf { it.record.incarnation == target.incarnation }
+        val ends = listOfNotNull(
+            listed?.coldUntil,
+            listed?.returnedAt?.plus(period),
+            evacuations.takenBackAt(target.dataCentre)?.plus(period)
+        )
+        return ends.maxOfOrNull { it - now }?.coerceAtLeast(Duration.ZERO) ?: Duration.ZERO
+    }
+
     public companion object {
         /** Time within which a live target renews a record that expired during an outage. */
         public val RECOVERY_PERIOD: Duration = 2.seconds
     }
 }
 
-/** Adds or replaces [record]. */
-public fun TargetDirectory.put(record: TargetRecord): TargetDirectory =
-    copy(targets = targets.put(record.id, ListedTarget(record)))
+/** Adds or replaces [record], which was read at [now]. */
+public fun TargetDirectory.put(record: TargetRecord, now: MonotonicTime): TargetDirectory {
+    val known = targets[record.id]?.takeIf { it.record.incarnation == record.incarnation }
+    // After an outage, records return that expired although their targets went on.
+    val wasAway = known == null || known.missingSince?.let { !mayHaveExpired(it, now) } == true
+    val returnedAt = if (wasAway) now else known?.returnedAt
+    val wasLost = known?.wasLost == true
+    return withTarget(ListedTarget(record, null, returnedAt, known?.coldUntil, wasLost), now)
+}
+
+private fun TargetDirectory.withTarget(listed: ListedTarget, now: MonotonicTime): TargetDirectory =
+    copy(targets = targets.put(listed.record.id, listed.statedCold(listed.record.coldFor, now)))
+
+/** Records that a connection to [target] could not be opened or broke. */
+public fun TargetDirectory.connectionLost(target: TargetIncarnation): TargetDirectory =
+    changed(target) { it.copy(wasLost = true) }
+
+/** Records that a new connection to [target] was opened. */
+public fun TargetDirectory.connectionOpened(
+    target: TargetIncarnation,
+    now: MonotonicTime
+): TargetDirectory =
+    changed(target) { if (it.wasLost) it.copy(wasLost = false, returnedAt = now) else it }
+
+private fun TargetDirectory.changed(
+    target: TargetIncarnation,
+    change: (ListedTarget) -> ListedTarget
+): TargetDirectory {
+    val listed = targets[target.target]?.takeIf { it.record.incarnation == target } ?: return this
+    return copy(targets = targets.put(target.target, change(listed)))
+}
+
+/** Records that [target] stated that it stays cold for [duration]. */
+public fun TargetDirectory.statedCold(
+    target: TargetIncarnation,
+    duration: Duration,
+    now: MonotonicTime
+): TargetDirectory = changed(target) { it.statedCold(duration, now) }
 
 /** Records that [target] stated that it leaves. */
 public fun TargetDirectory.statedLeaving(
@@ -102,14 +178,32 @@
     return copy(targets = targets.put(id, listed.copy(missingSince = now)))
 }
 
-/** Applies a complete listing of the records in the store. */
+/**
+ * Applies a complete listing of the records in the store. A record that is known already says
+ * nothing new, in particular not how long its target stays cold.
+ */
 public fun TargetDirectory.listed(
     records: Collection<TargetRecord>,
-    now: MonotonicTime
+    now: ClockReading
 ): TargetDirectory {
+    val isFirst = targets.isEmpty()
     val present = records.map { it.id }.toSet()
-    val put = records.fold(this) { directory, record -> directory.put(record) }
-    return (targets.keys - present).fold(put) { directory, id -> directory.removed(id, now) }
+    val put = records.fold(this) { directory, record ->
+        val known = targets[record.id]
+        when {
+            isFirst -> directory.withTarget(record.foundAt(now), now.monotonic)
+            known?.record == record && known.missingSince == null -> directory
+            else -> directory.put(record, now.monotonic)
+        }
+    }
+    return (targets.keys - present)
+        .fold(put) { directory, id -> directory.removed(id, now.monotonic) }
+}
+
+/** This record as a host finds it at its own start, with the start of the target by its clock. */
+private fun TargetRecord.foundAt(now: ClockReading): ListedTarget {
+    val age = startedAt?.let { (now.wallMillis - it).milliseconds.coerceAtLeast(Duration.ZERO) }
+    return ListedTarget(this, returnedAt = age?.let { now.monotonic - it })
 }
 
 /** Marks the store as unavailable. */
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetLimits.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetLimits.kt
@@ -110,20 +110,28 @@
         }
     }
 
-    /** Time until this host, at [place], may send a request to [target]. */
+    /** Whether a share of [target] was started and has not ended. */
+    public fun hasShare(target: TargetIncarnation): Boolean = target in shares
+
+    /**
+     * Time until this host, at [place], may send a request to [target]. [coldShare] is the rate of
+     * this host if the target is cold, in requests a second.
+     */
     public fun wait(
         target: TargetIncarnation,
         now: MonotonicTime,
+        coldShare: Double? = null,
         place: () -> SharePlace
-    ): Duration = share(target, now, place)?.wait(now) ?: ZERO
+    ): Duration = share(target, now, coldShare, place)?.wait(now) ?: ZERO
 
     /** Takes one request to [target] from the share of this host; no action if none is left. */
     public fun take(
         target: TargetIncarnation,
         now: MonotonicTime,
+        coldShare: Double? = null,
         place: () -> SharePlace
     ): Decision<TargetLimits, Unit> {
-        val filled = share(target, now, place)?.filled(now) ?: return decide(Unit)
+        val filled = share(target, now, coldShare, place)?.filled(now) ?: return decide(Unit)
         if (filled.tokens < 1.0) return copy(shares = shares.put(target, filled)).decide()
         val remaining = filled.copy(tokens = filled.tokens - 1.0)
         return Decision(copy(shares = shares.put(target, remaining)), persistentListOf(Unit))
@@ -133,20 +141,29 @@
     public fun started(
         target: TargetIncarnation,
         now: MonotonicTime,
+        coldShare: Double? = null,
         place: () -> SharePlace
     ): TargetLimits {
-        val share = share(target, now, place)
+        val share = share(target, now, coldShare, place)
             ?: return if (target in shares) copy(shares = shares.remove(target)) else this
-        return copy(shares = shares.put(target, share))
+        return copy(shares = shares.recent(now).put(target, share))
     }
 
+    private fun PersistentMap<TargetIncarnation, RequestShare>.recent(now: MonotonicTime) =
+        if (size < PRUNED_SIZE) {
+            this
+        } else {
+            filterValues { now - it.filledAt < VALIDITY }.toPersistentMap()
+        }
+
     private fun share(
         target: TargetIncarnation,
         now: MonotonicTime,
+        coldShare: Double?,
         place: () -> SharePlace
     ): RequestShare? {
-        val limit = limitOf(target, now) ?: return null
-        val rate = shareOf(limit, place())
+        val limitShare = limitOf(target, now)?.let { shareOf(it, place()) }
+        val rate = listOfNotNull(limitShare, coldShare).minOrNull() ?: return null
         return shares[target]?.filled(now)?.copy(rate = rate) ?: RequestShare(rate, 0.0, now)
     }
 
--- a/load/src/main/kotlin/org/sapphirelever/load/experiment/DepartureSimulation.kt
+++ b/load/src/main/kotlin/org/sapphirelever/load/experiment/DepartureSimulation.kt
@@ -98,7 +98,11 @@
         }.associateBy { it.record.id }
     private val hosts =
         List(scenario.hosts) {
-            Host(targets.values.fold(TargetDirectory()) { all, target -> all.put(target.record) })
+            Host(
+                targets.values.fold(TargetDirectory()) { all, target ->
+                    all.put(target.record, MonotonicTime.ZERO)
+                }
+            )
         }
     private var figures = DepartureFigures(0, 0, 0, 0, 0, 0, 0)
 
@@ -130,7 +134,7 @@
         scenario.recordDelay?.let { delay ->
             queue.after(delay) {
                 hosts.forEach {
-                    it.directory = it.directory.put(target.record.copy(leaving = true))
+                    it.directory = it.directory.put(target.record.copy(leaving = true), queue.now)
                 }
             }
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardProtocol.kt
@@ -93,6 +93,7 @@
  * @property idleTimeout time for which the target keeps an idle connection open
  * @property target the target that answers, if stated
  * @property isLeaving whether the target states that it leaves
+ * @property coldFor time for which the target states that it stays cold
  */
 public data class TargetReply(
     public val status: Int,
@@ -106,7 +107,8 @@
     public val requestLimit: RequestLimit = RequestLimit.None,
     public val target: TargetId? = null,
     public val isLeaving: Boolean = false,
-    public val pause: PauseRequest = PauseRequest.None
+    public val pause: PauseRequest = PauseRequest.None,
+    public val coldFor: Duration = Duration.ZERO
 ) {
     public val isSuccess: Boolean get() = status in SUCCESS
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
@@ -54,6 +54,23 @@
         count("sapphirelever_target_pause_requests_total", "Refusals that ask for a pause") {
             state.notices.pauseRequests.get()
         }
+        gauge("sapphirelever_data_centres_emptied", "Data centres whose targets get nothing") {
+            state.directory.value.evacuations.emptied.size.toDouble()
+        }
+        gauge("sapphirelever_emptied_running_calls", "Calls that run in emptied data centres") {
+            val emptied = state.directory.value.evacuations.emptied.keys
+            emptied.sumOf { state.evacuations.running(it) }.toDouble()
+        }
+        count(
+            "sapphirelever_evacuation_prevented_calls_total",
+            "Calls not sent because their data centre was emptied meanwhile"
+        ) {
+            state.evacuations.preventedCalls.get()
+        }
+        gauge("sapphirelever_targets_cold", "Targets that get a limited rate while they are cold") {
+            val targets = state.directory.value.targets.values.map { it.record }
+            targets.count { state.shares.coldFor(it).isPositive() }.toDouble()
+        }
         gauge("sapphirelever_message_memory_held_bytes", "Memory that messages hold") {
             state.memory.heldBytes.toDouble()
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -56,6 +56,9 @@
     private val crashes = StateCell(CrashEvidence())
     private val mutableBlocks = MutableStateFlow(crashes.value.blocks)
 
+    /** Data centres whose targets get nothing. */
+    public val evacuations: DataCentreEvacuations = DataCentreEvacuations(this)
+
     /** Share of this host in the request limits of targets. */
     public val shares: RequestShares = RequestShares(this)
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -5,6 +5,7 @@
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.ForwardingConfiguration
@@ -21,6 +22,13 @@
 
     public data class TargetRemoved(public val target: TargetId) : StoreEntry
 
+    /** The operator asked at [revision] to empty [dataCentre], or took that back. */
+    public data class Evacuation(
+        public val dataCentre: DataCentre,
+        public val isEmptied: Boolean,
+        public val revision: Long
+    ) : StoreEntry
+
     /** A forwarding host, with the address at which other hosts connect and its capacity. */
     public data class Host(public val host: HostId, public val announcement: HostAnnouncement) :
         StoreEntry
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/HostStatus.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/HostStatus.kt
@@ -18,6 +18,21 @@
         val statementAge = statedAt?.let { (now - it).inWholeMilliseconds }
         appendLine("leaving ${target.text} stated-ms-ago=$statementAge listed=${target.leaving}")
     }
+    directory.evacuations.emptied.forEach { (dataCentre, evacuation) ->
+        val age = (now - evacuation.since).inWholeMilliseconds
+        val targets = state.evacuations.targetsIn(dataCentre).size
+        val running = state.evacuations.running(dataCentre)
+        appendLine(
+            "emptied data-centre=$dataCentre for-ms=$age revision=${evacuation.revision} " +
+                "targets=$targets running=$running"
+        )
+    }
+    directory.targets.values.map { it.record }.forEach { target ->
+        val remaining = state.shares.coldFor(target)
+        if (remaining.isPositive()) {
+            appendLine("cold ${target.text} remaining-ms=${remaining.inWholeMilliseconds}")
+        }
+    }
     state.notices.currentPauses.forEach { (target, pause) ->
         val remaining = (pause.end - now).inWholeMilliseconds
         val askedAge = (now - pause.askedAt).inWholeMilliseconds
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PeerPieceClient.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PeerPieceClient.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
@@ -37,6 +38,7 @@
 import org.sapphirelever.runtime.peer.PeerConnection
 import org.sapphirelever.runtime.transport.Sockets
 import org.sapphirelever.wire.peer.AbandonPieces
+import org.sapphirelever.wire.peer.EvacuationsKnown
 import org.sapphirelever.wire.peer.MadePieceMessage
 import org.sapphirelever.wire.peer.MakePieces
 import org.sapphirelever.wire.peer.PeerMessage
@@ -157,14 +159,9 @@
         /** Reads messages until the connection closes. */
         private suspend fun read(open: PeerConnection) {
             try {
-                while (true) {
-                    val message = open.receive(IDLE_TIMEOUT)
-                    liveness.update { it.messageReceived(state.clock.now()) }
-                    when (message) {
-                        is PiecesMade -> pending[message.number]?.complete(message)
-                        is WorkContinues -> waitEstimates = message.toWaitEstimates()
-                        else -> throw IOException("unexpected ${message::class.simpleName}")
-                    }
+                coroutineScope {
+                    launch { state.evacuations.sendTo(open) }
+                    receive(open)
                 }
             } catch (failure: IOException) {
                 discard(open, failure)
@@ -173,6 +170,19 @@
             }
         }
 
+        private suspend fun receive(open: PeerConnection): Nothing {
+            while (true) {
+                val message = open.receive(IDLE_TIMEOUT)
+                liveness.update { it.messageReceived(state.clock.now()) }
+                when (message) {
+                    is PiecesMade -> pending[message.number]?.complete(message)
+                    is WorkContinues -> waitEstimates = message.toWaitEstimates()
+                    is EvacuationsKnown -> state.evacuations.receive(message)
+                    else -> throw IOException("unexpected ${message::class.simpleName}")
+                }
+            }
+        }
+
         /** Closes the connection if requests are pending and the liveness timeout expires. */
         private suspend fun monitor(open: PeerConnection) {
             while (connection === open) {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
@@ -21,6 +21,7 @@
 import org.sapphirelever.decisions.forwarding.WaitEstimate
 import org.sapphirelever.runtime.peer.PeerConnection
 import org.sapphirelever.wire.peer.AbandonPieces
+import org.sapphirelever.wire.peer.EvacuationsKnown
 import org.sapphirelever.wire.peer.MadePieceMessage
 import org.sapphirelever.wire.peer.MakePieces
 import org.sapphirelever.wire.peer.PiecesMade
@@ -37,6 +38,7 @@
     public suspend fun serve(connection: PeerConnection): Unit = coroutineScope {
         val jobs = ConcurrentHashMap<Long, Job>()
         launch { reportWork(connection, jobs) }
+        launch { state.evacuations.sendTo(connection) }
         while (true) {
             when (val message = connection.receive(IDLE_TIMEOUT)) {
                 is MakePieces -> {
@@ -49,6 +51,8 @@
 
                 is ReleaseResults -> release(message)
 
+                is EvacuationsKnown -> state.evacuations.receive(message)
+
                 else -> throw IOException("unexpected ${message::class.simpleName}")
             }
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
@@ -5,24 +5,30 @@
 
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
-import kotlinx.collections.immutable.PersistentMap
 import kotlinx.coroutines.channels.Channel
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.forwarding.HostAnnouncement
 import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.core.forwarding.WarmUp
 import org.sapphirelever.decisions.forwarding.LimitStatements
 import org.sapphirelever.decisions.forwarding.SharePlace
+import org.sapphirelever.decisions.forwarding.SharingHosts
 import org.sapphirelever.decisions.forwarding.TargetLimits
 import org.sapphirelever.decisions.forwarding.assignmentOrder
+import org.sapphirelever.decisions.forwarding.coldShareOf
 import org.sapphirelever.decisions.forwarding.shareOf
 import org.sapphirelever.decisions.rendezvousRank
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
 
-/** Limits that targets named to this host or to others, and what this host may send of them. */
+/**
+ * Limits that targets named to this host or to others and those of cold targets, and what this host
+ * may send of them.
+ */
 public class RequestShares(private val state: ForwardingState) {
     private val limits = StateCell(TargetLimits())
+    private val sharing = StateCell(SharingHosts(state.clock.now()))
 
     /** Signals that the limits that this host heard should be published. */
     public val reportDue: Channel<Unit> = Channel(Channel.CONFLATED)
@@ -30,6 +36,9 @@
     @Volatile
     private var places = HostPlaces(state.hosts.value)
 
+    @Volatile
+    private var coldPlaces = HostPlaces(sharing.value.current(state.clock.now()))
+
     /** Records what [target] stated in an answer. */
     public fun record(target: TargetRecord, limit: RequestLimit) {
         val rate =
@@ -72,15 +81,33 @@
         }
     }
 
+    /** Follows a change of the announced hosts. */
+    public fun followHosts() {
+        val hosts = state.hosts.value
+        sharing.update { it.announced(hosts, state.clock.now()) }
+    }
+
     /** Time until this host may send a request to [target]; infinite if it has no share. */
-    public fun wait(target: TargetRecord): Duration = limits.value
-        .wait(target.incarnation, state.clock.now()) { placeFor(target) }
+    public fun wait(target: TargetRecord): Duration {
+        val coldShare = coldShare(target)
+        if (coldShare != null && !limits.value.hasShare(target.incarnation)) {
+            limits.update { it.startedAt(target) }
+        }
+        return limits.value
+            .wait(target.incarnation, state.clock.now(), coldShare) { placeFor(target) }
+    }
+
+    /** Whether requests to [target] are counted. */
+    public fun isLimited(target: TargetRecord): Boolean =
+        limits.value.limitOf(target.incarnation, state.clock.now()) != null ||
+            coldShare(target) != null
 
     /** Takes one request to [target] from the share of this host; false if none is left. */
     public fun tryTake(target: TargetRecord): Boolean {
-        if (limits.value.limitOf(target.incarnation, state.clock.now()) == null) return true
+        if (!isLimited(target)) return true
+        val coldShare = coldShare(target)
         return limits.decide { all ->
-            all.take(target.incarnation, state.clock.now()) { placeFor(target) }
+            all.take(target.incarnation, state.clock.now(), coldShare) { placeFor(target) }
         }.isNotEmpty()
     }
 
@@ -89,21 +116,40 @@
         limits.update { it.copy(published = it.own) }.published
 
     private fun TargetLimits.startedAt(target: TargetRecord): TargetLimits =
-        started(target.incarnation, state.clock.now()) { placeFor(target) }
+        started(target.incarnation, state.clock.now(), coldShare(target)) { placeFor(target) }
+
+    /** How much longer [target] may be cold; zero if its service has no rate for cold targets. */
+    public fun coldFor(target: TargetRecord): Duration {
+        val warmUp = warmUp(target) ?: return Duration.ZERO
+        return state.directory.value.coldFor(target, warmUp.period, state.clock.now())
+    }
+
+    private fun warmUp(target: TargetRecord): WarmUp? =
+        state.configuration.value.table?.service(target.service)?.warmUp
+
+    /** Requests a second that this host may send to [target] because it is cold; null if warm. */
+    private fun coldShare(target: TargetRecord): Double? {
+        val warmUp = warmUp(target) ?: return null
+        if (!coldFor(target).isPositive()) return null
+        if (!sharing.value.isComplete(state.clock.now())) return 0.0
+        return coldShareOf(warmUp, state.profile.coldTolerance, coldPlaceFor(target))
+    }
 
     /** Place of this host in the order in which hosts take a share in the limit of [target]. */
     private fun placeFor(target: TargetRecord): SharePlace {
         val hosts = state.hosts.value
         if (places.hosts !== hosts) places = HostPlaces(hosts)
-        return places.byTarget.computeIfAbsent(target.incarnation) {
-            SharePlace(order(target, hosts).indexOf(state.profile.host), hosts.size)
-        }
+        return places.of(target)
     }
 
-    private fun order(
-        target: TargetRecord,
-        hosts: PersistentMap<HostId, HostAnnouncement>
-    ): List<HostId> {
+    /** Place of this host among those that may send requests to [target] while it is cold. */
+    private fun coldPlaceFor(target: TargetRecord): SharePlace {
+        val hosts = sharing.value.current(state.clock.now())
+        if (coldPlaces.hosts != hosts) coldPlaces = HostPlaces(hosts)
+        return coldPlaces.of(target)
+    }
+
+    private fun order(target: TargetRecord, hosts: Map<HostId, HostAnnouncement>): List<HostId> {
         val runsStages =
             state.configuration.value.table?.service(target.service)?.batching != null
         return if (runsStages) {
@@ -115,7 +161,11 @@
     }
 
     /** Places of this host among [hosts], which are the same until a host joins or leaves. */
-    private class HostPlaces(val hosts: PersistentMap<HostId, HostAnnouncement>) {
-        val byTarget = ConcurrentHashMap<TargetIncarnation, SharePlace>()
+    private inner class HostPlaces(val hosts: Map<HostId, HostAnnouncement>) {
+        private val byTarget = ConcurrentHashMap<TargetIncarnation, SharePlace>()
+
+        fun of(target: TargetRecord): SharePlace = byTarget.computeIfAbsent(target.incarnation) {
+            SharePlace(order(target, hosts).indexOf(state.profile.host), hosts.size)
+        }
     }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageExecutor.kt
@@ -50,6 +50,9 @@
         stages: List<RouteStage>,
         schedule: StageSchedule
     ): PersistentList<StageResult> {
+        stages.zip(request.pieceCounts)
+            .filter { (_, count) -> count > 0 }
+            .forEach { (stage, _) -> requireTargets(stage.service) }
         val made = mutableListOf<StageResult>()
         try {
             return coroutineScope { runStages(request, stages, schedule, made) }
@@ -60,6 +63,12 @@
         }
     }
 
+    /** Fails the request at once if all targets of [service] are in emptied data centres. */
+    private fun requireTargets(service: ServiceName) {
+        if (!state.evacuations.areAllEmptied(service)) return
+        throw StageFailedException("$service: data centres emptied")
+    }
+
     /** Expected time until [stages] are complete for [request], whose priority is [rank]. */
     public fun expectedTime(
         request: CallerRequest,
@@ -122,6 +131,7 @@
         schedule: StageSchedule
     ): List<StageResult> {
         if (count == 0) return emptyList()
+        requireTargets(stage.service)
         val handles = inputs.map { it.handle }.toPersistentList()
         val key = request.pieceKey.takeIf { stage.after.isEmpty() || handles.isEmpty() }
         val orders =
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -189,10 +189,19 @@
     }
 
     private fun apply(received: StoreEntries) {
-        val now = state.clock.now()
+        val now = state.readClock()
         if (received.isFullListing) {
             val records = received.entries.filterIsInstance<StoreEntry.Target>().map { it.record }
-            state.directory.update { it.listed(records, now) }
+            val emptied = received.entries.filterIsInstance<StoreEntry.Evacuation>()
+                .associate { it.dataCentre to it.revision }
+            val before = state.directory.value.targets
+            records.filter { before[it.id]?.record?.startedAt != it.startedAt }
+                .forEach { state.forget(it.id) }
+            state.evacuations.updateDirectory { directory ->
+                val evacuations = directory.evacuations
+                    .listed(emptied, received.revision, now.monotonic)
+                directory.copy(evacuations = evacuations).listed(records, now)
+            }
             val hosts = received.entries.filterIsInstance<StoreEntry.Host>()
             state.hosts.update { known ->
                 hosts.fold(known.clear()) { all, entry -> all.put(entry.host, entry.announcement) }
@@ -200,16 +209,20 @@
             }
         }
         received.entries.forEach { apply(it, received.isFullListing) }
+        state.evacuations.read(received.revision)
+        state.shares.followHosts()
     }
 
     private fun apply(entry: StoreEntry, isFullListing: Boolean) {
         when (entry) {
             is StoreEntry.Configuration -> adopt(entry)
 
-            is StoreEntry.Target -> putTarget(entry.record)
+            is StoreEntry.Target -> if (!isFullListing) putTarget(entry.record)
 
             is StoreEntry.TargetRemoved -> removeTarget(entry.target, "entry-removed")
 
+            is StoreEntry.Evacuation -> state.evacuations.apply(entry)
+
             is StoreEntry.Host -> state.hosts.update { it.put(entry.host, entry.announcement) }
 
             is StoreEntry.HostRemoved ->
@@ -275,7 +288,7 @@
 
     private fun putTarget(record: TargetRecord) {
         val known = state.directory.value.targets[record.id]
-        state.directory.update { it.put(record) }
+        state.directory.update { it.put(record, state.clock.now()) }
         val before = known?.record
         val isNew = before == null || before.startedAt != record.startedAt
         if (isNew) state.forget(record.id)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -12,6 +12,8 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.connectionLost
+import org.sapphirelever.decisions.forwarding.connectionOpened
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
 import org.sapphirelever.runtime.transport.BodyReader
@@ -79,17 +81,23 @@
         use: suspend (OpenResponse) -> T
     ): CallOutcome<T> {
         if (!timeout.isPositive()) return CallOutcome.NotSent("no time left")
-        state.notices.objection(target)?.let { return CallOutcome.NotSent(it) }
-        if (!state.shares.tryTake(target)) return CallOutcome.NotSent("request limit reached")
+        objection(target)?.let { return CallOutcome.NotSent(it) }
+        val isCounted = state.shares.isLimited(target)
+        if (!state.shares.tryTake(target)) return CallOutcome.NotSent(LIMIT_REACHED)
         val acquired =
             try {
                 pool.acquire(target)
             } catch (failure: IOException) {
-                state.recordFailure(target.id)
+                lost(target, failure.message.orEmpty(), broken = true)
                 return CallOutcome.NotSent(failure.message.orEmpty())
             }
-        // The answer to another call may have arrived while the connection was opened.
-        state.notices.objection(target)?.let { objection ->
+        if (!acquired.isReused) {
+            state.directory.update { it.connectionOpened(target.incarnation, state.clock.now()) }
+        }
+        // A change or the answer to another call may have arrived while the connection was opened.
+        val hasShare = isCounted || state.shares.tryTake(target)
+        val objection = objection(target) ?: if (hasShare) null else LIMIT_REACHED
+        if (objection != null) {
             pool.release(target.id, acquired.connection, idleTimeout = null)
             return CallOutcome.NotSent(objection)
         }
@@ -120,8 +128,15 @@
         }
     }
 
+    private fun objection(target: TargetRecord): String? = state.notices.objection(target)?.also {
+        if (state.directory.value.evacuations.isEmptied(target.dataCentre)) {
+            state.evacuations.preventedCalls.incrementAndGet()
+        }
+    }
+
     private fun lost(target: TargetRecord, reason: String, broken: Boolean): CallOutcome.Lost {
         state.recordFailure(target.id)
+        if (broken) state.directory.update { it.connectionLost(target.incarnation) }
         return CallOutcome.Lost(reason, broken)
     }
 
@@ -212,6 +227,7 @@
     }
 
     private companion object {
+        const val LIMIT_REACHED = "request limit reached"
         val INTERIM_STATUSES = 100..199
 
         /** Interim responses, and late ones to earlier requests, before the one that is awaited. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetNotices.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetNotices.kt
@@ -10,6 +10,7 @@
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.TargetPause
 import org.sapphirelever.decisions.forwarding.TargetPauses
+import org.sapphirelever.decisions.forwarding.statedCold
 import org.sapphirelever.decisions.forwarding.statedLeaving
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
@@ -32,6 +33,7 @@
     public fun record(target: TargetRecord, reply: TargetReply) {
         if (reply.isMisdirected || (reply.target != null && reply.target != target.id)) return
         if (reply.isLeaving) recordDeparture(target, reply)
+        if (reply.coldFor.isPositive()) recordCold(target, reply.coldFor)
         recordPause(target, reply)
     }
 
@@ -49,6 +51,11 @@
         }
     }
 
+    private fun recordCold(target: TargetRecord, duration: Duration) {
+        val now = state.clock.now()
+        state.directory.update { it.statedCold(target.incarnation, duration, now) }
+    }
+
     private fun recordPause(target: TargetRecord, reply: TargetReply) {
         when (val pause = reply.pause) {
             PauseRequest.None -> return
@@ -78,7 +85,9 @@
 
     /** Why [target] takes no call now, or null if it does. */
     public fun objection(target: TargetRecord): String? {
-        if (state.directory.value.isLeaving(target)) return "target leaves"
+        val directory = state.directory.value
+        if (directory.isLeaving(target)) return "target leaves"
+        if (directory.evacuations.isEmptied(target.dataCentre)) return "data centre is emptied"
         val pause = pause(target)
         return if (pause.isPositive()) "target paused for $pause" else null
     }
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
@@ -84,6 +84,20 @@
     @CborLabel(FieldLabel.SECOND) public val waitMillis: Map<Int, Long> = emptyMap()
 )
 
+/** Whether [dataCentre] is to be emptied, as of [revision] of the store. */
+@Serializable
+public data class EvacuationMessage(
+    @CborLabel(FieldLabel.FIRST) public val dataCentre: String,
+    @CborLabel(FieldLabel.SECOND) public val isEmptied: Boolean,
+    @CborLabel(FieldLabel.THIRD) public val revision: Long
+)
+
+/** The evacuations that the sender knows; sent in both directions. */
+@Serializable
+public data class EvacuationsKnown(
+    @CborLabel(FieldLabel.FIRST) public val evacuations: List<EvacuationMessage> = emptyList()
+) : PieceMessage
+
 /** Keep-alive of a host that works on [MakePieces] messages, with its current wait estimates. */
 @Serializable
 public data class WorkContinues(
