--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -19,7 +19,6 @@
 import org.sapphirelever.core.forwarding.BatchLimits
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.Decision
-import org.sapphirelever.decisions.rendezvousRank
 
 /**
  * One piece of stage work that waits for a call.
@@ -32,6 +31,7 @@
  * @property origin data centre of the request, which probably fetches the result
  * @property inputs size of the results that it takes, by the data centre that holds them
  * @property localUntil time until which it waits for a target in the data centre of its inputs
+ * @property laterWork time that later stages and the engine need after its call
  */
 public data class WaitingPiece(
     public val number: Long,
@@ -43,8 +43,19 @@
     public val bytes: Long = 0,
     public val origin: DataCentre? = null,
     public val inputs: PersistentMap<DataCentre, Long> = persistentMapOf(),
-    public val localUntil: MonotonicTime? = null
+    public val localUntil: MonotonicTime? = null,
+    public val laterWork: Duration = Duration.ZERO
 ) {
+    /** Time until which the call of the piece must end for the response to be on time. */
+    public val latestEnd: MonotonicTime get() = softDeadline - laterWork
+
+    /**
+     * Whether its request has not begun and misses its objective. Such a request occupies no
+     * capacity yet, so that it can wait until all that can be on time has started.
+     */
+    public fun isPostponed(limits: BatchLimits, now: MonotonicTime): Boolean =
+        inputs.isEmpty() && latestEnd < now + limits.callDuration(1)
+
     /** Whether more than half of the input bytes are outside [dataCentre]. */
     internal fun isRemote(dataCentre: DataCentre): Boolean =
         (inputs[dataCentre] ?: 0) * 2 < inputs.values.sum()
@@ -190,125 +201,6 @@
     return kotlin.math.ceil(share).toInt().coerceAtLeast(1)
 }
 
-/** The next call, to the target with the shortest expected wait of those that can take pieces. */
-private fun PieceQueue.nextCall(context: PieceContext): StageCall? {
-    val healthy = context.candidates.healthyOrAll(context.views, context.now)
-    val free =
-        healthy.filter {
-            (inFlight[it.id] ?: 0) < context.limits.slots && !isFull(it.id, context.now)
-        }
-    val orderings = free.map { it.dataCentre }.distinct().associateWith { orderedFor(it) }
-    return free
-        .mapNotNull { target ->
-            batchFor(target, orderings.getValue(target.dataCentre), context)?.let { target to it }
-        }
-        .minByOrNull { (target, pieces) -> expectedCallsAhead(target, pieces, context) }
-        ?.let { (target, pieces) ->
-            val numbers = pieces.map { it.number }.toPersistentList()
-            StageCall(target, numbers, pieces.sumOf { it.bytes })
-        }
-}
-
-/**
- * The first of the [ordered] pieces that [target] has capacity for. The pieces of a request stay
- * together, since the next stage needs all of them and early results would only occupy capacity.
- */
-private fun PieceQueue.batchFor(
-    target: TargetRecord,
-    ordered: List<WaitingPiece>,
-    context: PieceContext
-): List<WaitingPiece>? {
-    val share =
-        context.limits.resultCapacityBytes / context.hosts.coerceAtLeast(1) * USABLE_CAPACITY_RATIO
-    var capacity = share - (reservedBytes[target.id] ?: 0)
-    val isTargetEmpty = (reservedBytes[target.id] ?: 0) == 0L
-    val isOnlyTarget = context.candidates.size == 1
-    val isOnProbation = context.views[target.id]?.isOnProbation(context.now) == true
-    val taken = mutableListOf<WaitingPiece>()
-    val requests =
-        ordered
-            .filter { it.excluded != target.id || isOnlyTarget }
-            .filterNot { it.waitsForLocalTarget(target.dataCentre, context.now) }
-            .groupBy { it.request }
-            .values
-    for (pieces in requests) {
-        val remaining = context.limits.batch - taken.size
-        val fitting = pieces.take(remaining).takeWhileFitting(capacity)
-        if (taken.isEmpty()) {
-            taken += if (isTargetEmpty) fitting.ifEmpty { pieces.take(1) } else fitting
-        } else if (fitting.size == pieces.size) {
-            taken += fitting
-        }
-        capacity = share - (reservedBytes[target.id] ?: 0) - taken.sumOf { it.bytes }
-        if (taken.size >= context.limits.batch || (isOnProbation && taken.isNotEmpty())) break
-    }
-    return taken.ifEmpty { null }
-}
-
-/** The first pieces whose results fit into [capacity] bytes together. */
-private fun List<WaitingPiece>.takeWhileFitting(capacity: Double): List<WaitingPiece> {
-    var left = capacity
-    return takeWhile { piece ->
-        left -= piece.bytes
-        left >= 0 || piece.bytes == 0L
-    }
-}
-
-/**
- * The waiting pieces in the order in which a target in [dataCentre] executes them: by rank, then
- * by soft deadline, put back by a delay for the bytes that this data centre has to transfer. Late
- * pieces keep their place, since their requests occupy capacity with earlier results.
- */
-private fun PieceQueue.orderedFor(dataCentre: DataCentre): List<WaitingPiece> {
-    val piecesByRequest = waiting.groupingBy { it.request }.eachCount()
-    return waiting.sortedWith(
-        compareBy({ it.rank }, { piece ->
-            val megabytes = piece.remoteBytes(dataCentre) / BYTES_PER_MEGABYTE
-            piece.softDeadline +
-                DELAY_PER_MEGABYTE * megabytes * piecesByRequest.getValue(piece.request)
-        })
-    )
-}
-
-/** Calls that a new call is expected to wait for, plus penalties for remote targets and ties. */
-private fun expectedCallsAhead(
-    target: TargetRecord,
-    pieces: List<WaitingPiece>,
-    context: PieceContext
-): Double {
-    val requests = pieces.distinctBy { it.request }.size
-    val remoteBytes = pieces.sumOf { it.remoteBytes(target.dataCentre) }
-    val megabytes = remoteBytes / BYTES_PER_MEGABYTE / requests
-    val view = context.views[target.id] ?: TargetView()
-    val report = view.report?.takeIf { context.now - it.at < REPORT_LIFETIME }
-    val ahead = report?.let { it.running + it.waiting }?.toDouble() ?: ASSUMED_CALLS
-    val remotePenalty = megabytes * PENALTY_CALLS_PER_MEGABYTE
-    // Hosts prefer different targets, so that they do not all call the same one at once.
-    val preference = rendezvousRank(context.host, target.id.value).mod(PREFERENCES) * TIE_CALLS
-    return ahead + remotePenalty + preference
-}
-
-/**
- * Time that a piece may wait for a target in the data centre of its inputs. Every piece of a
- * request fetches the same inputs, so transfers between data centres cost more than the delay.
- */
-public val LOCALITY_WAIT: Duration = 180.milliseconds
-
-/** Approximate time that a request takes after one of its pieces has started. */
-private val REMAINING_TIME = 700.milliseconds
-
-/** Time until which a piece queued at [now] waits for a local target; null if it does not wait. */
-public fun localUntil(
-    inputBytes: Long,
-    softDeadline: MonotonicTime,
-    now: MonotonicTime
-): MonotonicTime? = (now + LOCALITY_WAIT).takeIf {
-    inputBytes > MINIMUM_LOCALITY_BYTES && now + REMAINING_TIME < softDeadline
-}
-
-/** Inputs up to this size are fetched from any data centre. */
-private const val MINIMUM_LOCALITY_BYTES = 100_000L
-
 /** Cooldown of a full target: about one call, during which it releases some of its results. */
 public val FULL_TARGET_COOLDOWN: Duration = 300.milliseconds
 
@@ -317,22 +209,3 @@
 
 /** Calls in flight per slot, over all hosts. */
 private const val CALLS_PER_SLOT = 1.5
-
-/** Number of calls assumed at a target without a recent load report. */
-private const val ASSUMED_CALLS = 0.5
-
-/** Fraction of a target's result capacity that is used, since result sizes are approximate. */
-private const val USABLE_CAPACITY_RATIO = 0.98
-
-/** Calls that a local target may have more than a remote one, per megabyte transferred. */
-private const val PENALTY_CALLS_PER_MEGABYTE = 0.35
-
-/** Delay of a piece in the order, per megabyte that its request has to transfer. */
-private val DELAY_PER_MEGABYTE = 90.milliseconds
-
-/** Penalty, in calls, between neighbouring preferences of a host among equal targets. */
-private const val TIE_CALLS = 0.02
-private const val PREFERENCES = 8L
-
-/** Calls take a few hundred milliseconds, after which an earlier report is out of date. */
-private val REPORT_LIFETIME = FAILURE_COOLDOWN / 4
