Admit requests by the work on their way, and order stage work by latest end

Under two to three times the usual load, requests were admitted that held results and then missed their deadline, while more urgent ones were late.

Causes: admission knew what waits at each service now, but not what earlier stages will bring there nor what more urgent arrivals take; it added the backlog of a later stage in full, though it drains meanwhile. A piece that waited for a target near its inputs left remote targets to less urgent pieces, and full calls of less urgent pieces made urgent requests late.

- Hosts announce with the pieces of a stage what follows at other services (MakePieces.later); keep-alives report the sums (WorkContinues.announced).
The fields have defaults, so hosts of the previous version understand them.
- One forecast of all stages and the engine decides on arrival.
A request that misses its objective starts behind those that can be on time.
- Pieces are ordered by rank, then by the latest end of their call.
- Refused callers return one after the other (ReturnLine).
- Results that arrive for a request that has ended are released at once.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceBatch.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceBatch.kt
@@ -20,7 +20,7 @@
         healthy.filter {
             (inFlight[it.id] ?: 0) < context.limits.slots && !isFull(it.id, context.now)
         }
-    val orderings = free.map { it.dataCentre }.distinct().associateWith { orderedFor(it) }
+    val orderings = free.map { it.dataCentre }.distinct().associateWith { orderedFor(it, context) }
     return free
         .mapNotNull { target ->
             batchFor(target, orderings.getValue(target.dataCentre), context)?.let { target to it }
@@ -51,7 +51,7 @@
     val requests =
         ordered
             .filter { it.excluded != target.id || isOnlyTarget }
-            .filterNot { it.waitsForLocalTarget(target.dataCentre, context.now) }
+            .withoutWaiting(target.dataCentre, context.now)
             .groupBy { it.request }
             .values
     for (pieces in requests) {
@@ -59,7 +59,7 @@
         val fitting = pieces.take(remaining).takeWhileFitting(capacity)
         if (taken.isEmpty()) {
             taken += if (isTargetEmpty) fitting.ifEmpty { pieces.take(1) } else fitting
-        } else if (fitting.size == pieces.size) {
+        } else if (fitting.size == pieces.size && !taken.isDelayedBy(pieces, context)) {
             taken += fitting
         }
         capacity = share - (reservedBytes[target.id] ?: 0) - taken.sumOf { it.bytes }
@@ -68,6 +68,34 @@
     return taken.ifEmpty { null }
 }
 
+/**
+ * The pieces that [dataCentre] may execute now. None waits for a target near its inputs if a less
+ * urgent one would take this target meanwhile.
+ */
+private fun List<WaitingPiece>.withoutWaiting(
+    dataCentre: DataCentre,
+    now: MonotonicTime
+): List<WaitingPiece> {
+    val (waiting, ready) = partition { it.waitsForLocalTarget(dataCentre, now) }
+    val leastUrgent = ready.maxOfOrNull { it.rank } ?: return ready
+    val passed = waiting.filter { it.rank < leastUrgent }.toSet()
+    return filter { it in passed || !it.waitsForLocalTarget(dataCentre, now) }
+}
+
+/**
+ * Whether [others] would make the call end too late for a more urgent request among these pieces
+ * that it otherwise serves on time.
+ */
+private fun List<WaitingPiece>.isDelayedBy(
+    others: List<WaitingPiece>,
+    context: PieceContext
+): Boolean {
+    val rank = others.first().rank
+    val end = context.now + context.limits.callDuration(size)
+    val laterEnd = context.now + context.limits.callDuration(size + others.size)
+    return any { it.rank < rank && end <= it.latestEnd && it.latestEnd < laterEnd }
+}
+
 /** The first pieces whose results fit into [capacity] bytes together. */
 private fun List<WaitingPiece>.takeWhileFitting(capacity: Double): List<WaitingPiece> {
     var left = capacity
@@ -78,18 +106,26 @@
 }
 
 /**
- * The waiting pieces in the order in which a target in [dataCentre] executes them: by rank, then
- * by soft deadline, put back by a delay for the bytes that this data centre has to transfer. Late
- * pieces keep their place, since their requests occupy capacity with earlier results.
+ * The waiting pieces in the order in which a target in [dataCentre] executes them: by rank, those
+ * whose request can be on time first, then by latest end, put back by a delay for the bytes that
+ * this data centre has to transfer. Late requests that have begun keep their place, since they
+ * occupy capacity with earlier results.
  */
-private fun PieceQueue.orderedFor(dataCentre: DataCentre): List<WaitingPiece> {
+private fun PieceQueue.orderedFor(
+    dataCentre: DataCentre,
+    context: PieceContext
+): List<WaitingPiece> {
     val piecesByRequest = waiting.groupingBy { it.request }.eachCount()
     return waiting.sortedWith(
-        compareBy({ it.rank }, { piece ->
-            val megabytes = piece.remoteBytes(dataCentre) / BYTES_PER_MEGABYTE
-            piece.softDeadline +
-                DELAY_PER_MEGABYTE * megabytes * piecesByRequest.getValue(piece.request)
-        })
+        compareBy(
+            { it.rank },
+            { it.isPostponed(context.limits, context.now) },
+            { piece ->
+                val megabytes = piece.remoteBytes(dataCentre) / BYTES_PER_MEGABYTE
+                piece.latestEnd +
+                    DELAY_PER_MEGABYTE * megabytes * piecesByRequest.getValue(piece.request)
+            }
+        )
     )
 }
 
@@ -117,24 +153,23 @@
  */
 public val LOCALITY_WAIT: Duration = 180.milliseconds
 
-/** Approximate time that a request takes after one of its pieces has started. */
-private val REMAINING_TIME = 700.milliseconds
-
-/** Time until which a piece queued at [now] waits for a local target; null if it does not wait. */
+/**
+ * Time until which a piece queued at [now] waits for a local target; null if it does not wait. The
+ * wait takes at most half of the time that its request has to spare, with full calls.
+ */
 public fun localUntil(
     inputBytes: Long,
-    softDeadline: MonotonicTime,
+    latestEnd: MonotonicTime,
+    limits: BatchLimits,
     now: MonotonicTime
 ): MonotonicTime? = (now + LOCALITY_WAIT).takeIf {
-    inputBytes > MINIMUM_LOCALITY_BYTES && now + REMAINING_TIME < softDeadline
+    inputBytes > MINIMUM_LOCALITY_BYTES &&
+        now + LOCALITY_WAIT * 2 + limits.callDuration(limits.batch) < latestEnd
 }
 
 /** Inputs up to this size are fetched from any data centre. */
 private const val MINIMUM_LOCALITY_BYTES = 100_000L
 
-
-
-
 /** Number of calls assumed at a target without a recent load report. */
 private const val ASSUMED_CALLS = 0.5
 
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceQueue.kt
@@ -89,8 +89,12 @@
     public val now: MonotonicTime
 )
 
-/** End of a call that completed [count] pieces. */
-public data class CompletedPieces(public val at: MonotonicTime, public val count: Int)
+/** End of a call that completed [count] pieces, [ranks] of which had each rank. */
+public data class CompletedPieces(
+    public val at: MonotonicTime,
+    public val count: Int,
+    public val ranks: PersistentMap<Int, Int> = persistentMapOf()
+)
 
 /**
  * Waiting pieces and calls of one service.
@@ -121,6 +125,15 @@
         return recent / RATE_WINDOW.toDouble(DurationUnit.MILLISECONDS)
     }
 
+    /** Pieces more urgent than [rank] completed per millisecond, at most [maximum]. */
+    internal fun urgentPiecesPerMilli(rank: Int, now: MonotonicTime, maximum: Double): Double {
+        val urgent =
+            completed
+                .filter { now - it.at < RATE_WINDOW }
+                .sumOf { call -> call.ranks.filterKeys { it < rank }.values.sum() }
+        return (urgent / RATE_WINDOW.toDouble(DurationUnit.MILLISECONDS)).coerceAtMost(maximum)
+    }
+
     internal fun withWaitingSince(now: MonotonicTime): PieceQueue = when {
         waiting.isEmpty() -> if (waitingSince == null) this else copy(waitingSince = null)
         else -> if (waitingSince == null) copy(waitingSince = now) else this
@@ -150,11 +163,15 @@
 public fun PieceQueue.markedFull(target: TargetId, now: MonotonicTime): PieceQueue =
     copy(fullUntil = fullUntil.put(target, now + FULL_TARGET_COOLDOWN))
 
-/** End of a call that completed [count] pieces and left [unusedBytes] of capacity unused. */
+/**
+ * End of a call that completed [count] pieces and left [unusedBytes] of capacity unused; [ranks]
+ * are the numbers of its pieces by rank.
+ */
 public data class EndedCall(
     public val target: TargetId,
     public val unusedBytes: Long,
-    public val count: Int
+    public val count: Int,
+    public val ranks: PersistentMap<Int, Int> = persistentMapOf()
 )
 
 /** Records the end of [call] and starts the next calls. */
@@ -168,7 +185,7 @@
         completed
             .filter { context.now - it.at < RATE_WINDOW }
             .toPersistentList()
-            .add(CompletedPieces(context.now, call.count))
+            .add(CompletedPieces(context.now, call.count, call.ranks))
     return copy(inFlight = counted, completed = recent)
         .released(call.target, call.unusedBytes)
         .start(context)
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageOrder.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageOrder.kt
@@ -4,6 +4,7 @@
  */
 package org.sapphirelever.decisions.forwarding
 
+import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.forwarding.RouteStage
 
 /**
@@ -19,6 +20,27 @@
     }
 }
 
+/**
+ * Pieces that follow at each service after the stage at [index]. Of the stages that a later one
+ * waits for at the same time, the first announces its pieces, so that they count once.
+ */
+public fun laterPieces(
+    stages: List<RouteStage>,
+    counts: List<Int>,
+    index: Int
+): Map<ServiceName, Int> {
+    val predecessors = stagePredecessors(stages, counts)
+    fun allBefore(later: Int): Set<Int> = predecessors[later].flatMap { allBefore(it) + it }.toSet()
+    return stages.indices
+        .filter { later ->
+            val before = allBefore(later).filter { counts.getOrElse(it) { 0 } > 0 }
+            before.filter { predecessors.depth(it) == predecessors.depth(index) }.minOrNull() ==
+                index
+        }.groupBy { stages[it].service }
+        .mapValues { (_, later) -> later.sumOf { counts.getOrElse(it) { 0 } } }
+        .filterValues { it > 0 }
+}
+
 /** Number of stages in the longest chain that starts with each stage. */
 private fun chainLengths(stages: List<RouteStage>): List<Int> {
     val lengths = MutableList(stages.size) { 1 }
--- a/load/src/main/kotlin/org/sapphirelever/load/experiment/StageLoad.kt
+++ b/load/src/main/kotlin/org/sapphirelever/load/experiment/StageLoad.kt
@@ -81,6 +81,8 @@
 ) {
     public val inTimeShare: Double get() = inTime.toDouble() / requests.coerceAtLeast(1)
 
+    public val refusedShare: Double get() = refused.toDouble() / requests.coerceAtLeast(1)
+
     public operator fun plus(other: KindFigures): KindFigures = KindFigures(
         requests + other.requests,
         inTime + other.inTime,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PeerPieceClient.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PeerPieceClient.kt
@@ -23,8 +23,10 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import org.sapphirelever.core.HostId
+import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
+import org.sapphirelever.decisions.forwarding.AnnouncedWork
 import org.sapphirelever.decisions.forwarding.PeerAvoidance
 import org.sapphirelever.decisions.forwarding.PeerLiveness
 import org.sapphirelever.decisions.forwarding.WaitEstimate
@@ -72,6 +74,9 @@
     public fun waitEstimate(owner: HostId, service: ServiceName): WaitEstimate? =
         links[owner]?.waitEstimates?.get(service)
 
+    /** Work on its way to later stages as last reported by each host. */
+    public fun announcedWork(): List<AnnouncedWork> = links.values.map { it.announced }
+
     private fun link(owner: HostId): Link = links.computeIfAbsent(owner) { Link(it) }
 
     /** The link to one host, connected on demand. */
@@ -93,6 +98,10 @@
         var waitEstimates: PersistentMap<ServiceName, WaitEstimate> = persistentMapOf()
             private set
 
+        @Volatile
+        var announced: AnnouncedWork = AnnouncedWork(at = MonotonicTime.ZERO)
+            private set
+
         suspend fun execute(pieces: StagePieces): List<StageResult> {
             val open = connected()
             val number = requestNumbers.incrementAndGet()
@@ -161,8 +170,13 @@
                     val message = open.receive(IDLE_TIMEOUT)
                     liveness.update { it.messageReceived(state.clock.now()) }
                     when (message) {
-                        is PiecesMade -> pending[message.number]?.complete(message)
-                        is WorkContinues -> waitEstimates = message.toWaitEstimates()
+                        is PiecesMade -> receive(message)
+
+                        is WorkContinues -> {
+                            waitEstimates = message.toWaitEstimates()
+                            announced = message.toAnnouncedWork(state.clock.now())
+                        }
+
                         else -> throw IOException("unexpected ${message::class.simpleName}")
                     }
                 }
@@ -253,9 +267,22 @@
             dataCentre = origin.value,
             inputs = inputs.mapKeys { it.key.value },
             softDeadlineMillis = (softDeadline - state.clock.now()).inWholeMilliseconds,
-            pieces = orders.map { PieceOrderMessage(it.piece, it.key, it.inputs) }
+            pieces = orders.map { PieceOrderMessage(it.piece, it.key, it.inputs) },
+            later = later.mapKeys { it.key.value },
+            laterMillis = laterWork.inWholeMilliseconds
         )
 
+        /** Completes the request of [message], whose results are released if it has ended. */
+        private fun receive(message: PiecesMade) {
+            if (pending[message.number]?.complete(message) == true) return
+            val results =
+                message.results.mapNotNull { made ->
+                    val producer = state.directory.value.targets[TargetId(made.maker)]?.record
+                    producer?.let { StageResult(made.handle, it, 0, owner) }
+                }
+            if (results.isNotEmpty()) release(results)
+        }
+
         private fun MadePieceMessage.toResult(pieces: StagePieces): StageResult {
             val producer =
                 state.directory.value.targets[TargetId(maker)]?.record
@@ -263,13 +290,10 @@
             return StageResult(handle, producer, pieces.resultBytes, owner)
         }
 
-        private fun WorkContinues.toWaitEstimates(): PersistentMap<ServiceName, WaitEstimate> {
-            val now = state.clock.now()
-            return waitEstimates.associate { message ->
-                val waits = message.waitMillis.mapValues { it.value.milliseconds }
-                ServiceName(message.service) to WaitEstimate(waits.toPersistentMap(), now)
-            }.toPersistentMap()
-        }
+        private fun WorkContinues.toWaitEstimates(): PersistentMap<ServiceName, WaitEstimate> =
+            waitEstimates
+                .associate { ServiceName(it.service) to it.toWaitEstimate(state.clock.now()) }
+                .toPersistentMap()
     }
 
     private companion object {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceExecutor.kt
@@ -3,12 +3,15 @@
  */
 package org.sapphirelever.runtime.forward
 
+import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.AnnouncedWork
 import org.sapphirelever.decisions.forwarding.WaitEstimate
 
 /**
@@ -34,6 +37,8 @@
  * @property softDeadline time until which the response to the request meets its objective
  * @property inputs bytes of results that the pieces consume, by data centre
  * @property origin data centre of the host that received the request
+ * @property later pieces of the request that follow at other services
+ * @property laterWork time that later stages and the target of the request need
  */
 public data class StagePieces(
     public val service: ServiceName,
@@ -43,7 +48,9 @@
     public val softDeadline: MonotonicTime,
     public val inputs: PersistentMap<DataCentre, Long>,
     public val origin: DataCentre,
-    public val orders: List<PieceOrder>
+    public val orders: List<PieceOrder>,
+    public val later: PersistentMap<ServiceName, Int> = persistentMapOf(),
+    public val laterWork: Duration = Duration.ZERO
 )
 
 /** Executes pieces and accounts for their results. */
@@ -59,6 +66,9 @@
 
     /** Expected waiting time of new pieces of [service], or null if none are queued. */
     public fun waitEstimate(service: ServiceName): WaitEstimate?
+
+    /** Work on its way to later stages, as each host that executes pieces reported it. */
+    public fun announcedWork(): List<AnnouncedWork>
 }
 
 /** Bytes of these results by the data centre that holds them. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
@@ -10,7 +10,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -18,15 +17,12 @@
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.TargetId
-import org.sapphirelever.decisions.forwarding.WaitEstimate
 import org.sapphirelever.runtime.peer.PeerConnection
 import org.sapphirelever.wire.peer.AbandonPieces
 import org.sapphirelever.wire.peer.MadePieceMessage
 import org.sapphirelever.wire.peer.MakePieces
 import org.sapphirelever.wire.peer.PiecesMade
 import org.sapphirelever.wire.peer.ReleaseResults
-import org.sapphirelever.wire.peer.WaitEstimateMessage
-import org.sapphirelever.wire.peer.WorkContinues
 
 /** Executes pieces for other hosts with [executor]. */
 public class PieceServer(
@@ -58,15 +54,12 @@
         while (true) {
             delay(REPORT_PERIOD)
             val estimates = executor.waitEstimates()
-            if (jobs.isNotEmpty() || estimates.isNotEmpty()) {
-                connection.send(WorkContinues(estimates.map { it.toMessage() }))
-            }
+            val announced = executor.ownAnnouncedWork()
+            val isIdle = jobs.isEmpty() && estimates.isEmpty() && announced.pieces.isEmpty()
+            if (!isIdle) connection.send(reportOf(estimates, announced))
         }
     }
 
-    private fun Map.Entry<ServiceName, WaitEstimate>.toMessage(): WaitEstimateMessage =
-        WaitEstimateMessage(key.value, value.waits.mapValues { it.value.inWholeMilliseconds })
-
     private suspend fun answer(connection: PeerConnection, message: MakePieces) {
         val answer =
             try {
@@ -102,7 +95,9 @@
             pieces.map {
                 val inputs = it.inputs.toPersistentList()
                 PieceOrder(request, stage, it.piece, Duration.ZERO, it.key, inputs)
-            }
+            },
+        later = later.mapKeys { ServiceName(it.key) }.toPersistentMap(),
+        laterWork = laterMillis.milliseconds
     )
 
     private companion object {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/Refusals.kt
@@ -5,7 +5,13 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.sapphirelever.core.ServiceName
+import org.sapphirelever.decisions.forwarding.RefusedCaller
+import org.sapphirelever.decisions.forwarding.ReturnLine
 import org.sapphirelever.decisions.suspicion.TraitBlock
+import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.transport.MessageBody
 
@@ -36,6 +42,19 @@
     private val state: ForwardingState,
     private val guard: CrashGuard
 ) {
+    private val lines = StateCell<PersistentMap<ServiceName?, ReturnLine>>(persistentMapOf())
+
+    /** Time after which [caller] should return, for room of [service]. */
+    fun returnAfter(service: ServiceName?, caller: RefusedCaller): Duration {
+        var delay = Duration.ZERO
+        lines.update { all ->
+            val (line, place) = (all[service] ?: ReturnLine()).promise(caller, state.clock.now())
+            delay = place
+            all.put(service, line)
+        }
+        return delay
+    }
+
     /** Refuses [request]; its caller may retry after [retryAfter]. */
     suspend fun refuse(
         request: CallerRequest,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
@@ -19,7 +19,9 @@
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.PromptShape
+import org.sapphirelever.decisions.forwarding.RefusedCaller
 import org.sapphirelever.decisions.forwarding.ResponseEstimate
+import org.sapphirelever.decisions.forwarding.StageTimes
 import org.sapphirelever.decisions.forwarding.chooseEngine
 import org.sapphirelever.decisions.forwarding.expectedFirstToken
 import org.sapphirelever.decisions.forwarding.leastLoaded
@@ -79,11 +81,11 @@
     /** Refuses a request that is not expected to be served; null if it can start now. */
     private suspend fun refuseAtOnce(): ForwardOutcome? {
         if (state.usableTargets(granted.service).isEmpty()) return refuse(NO_TARGET, RETRY_AFTER)
-        val stageTime = parts.stages.expectedTime(request, route.stages, granted.rank)
-        limitWait.retryAfter(stageTime.current)?.let { return refuse(limitWait.cause, it) }
-        if (!parts.shutdown.hasTimeFor(stageTime.current + engineTime)) return refuseStopping()
+        val times = parts.stages.expectedTimes(request, route.stages, granted.rank)
+        limitWait.retryAfter(times.expected)?.let { return refuse(limitWait.cause, it) }
+        if (!parts.shutdown.hasTimeFor(times.expected + engineTime)) return refuseStopping()
         if (route.stages.isEmpty()) return null
-        return overloadRetryAfter(stageTime)?.let { refuse("stages-overloaded", it) }
+        return overloadRetryAfter(times)?.let { refuse("stages-overloaded", it) }
     }
 
     private suspend fun refuse(cause: String, retryAfter: Duration): ForwardOutcome =
@@ -93,8 +95,9 @@
 
     private suspend fun runStages() {
         val softDeadline = admitted.arrivedAt + route.objective
+        val stageDeadline = stageDeadline(softDeadline)
         results =
-            stageResults(StageSchedule(granted.rank, stageDeadline(softDeadline), softDeadline))
+            stageResults(StageSchedule(granted.rank, stageDeadline, softDeadline, engineTime))
     }
 
     /** Runs the stages, which fail with [STOPPING] when calls must end because the host stops. */
@@ -143,20 +146,30 @@
     }
 
     /** Time after which the caller should retry, or null if the request can start now. */
-    private fun overloadRetryAfter(stageTime: StageTimeEstimate): Duration? {
+    private fun overloadRetryAfter(times: StageTimes): Duration? {
+        val patience = stageDeadline(admitted.arrivedAt + route.objective) - state.clock.now()
         val estimate =
             ResponseEstimate(
                 objective = route.objective,
-                idle = stageTime.unloaded + engineTime,
-                expected = stageTime.current + engineTime
+                patience = patience + engineTime,
+                idle = times.idle + engineTime,
+                expected = times.expected + engineTime,
+                postponed = times.postponed + engineTime
             )
-        val retryAfter = estimate.retryAfter() ?: return null
+        val excess = estimate.excess() ?: return null
+        val latest = remaining / RETURN_PARTS
+        val caller =
+            RefusedCaller(granted.rank, excess, times.work * state.hosts.value.size, latest)
+        val retryAfter = refusals.returnAfter(times.busiest, caller)
         logEvent("start-refused") {
             "request" to request.id
             "route" to route.name
+            "service" to times.busiest
             "expected-ms" to estimate.expected.inWholeMilliseconds
+            "postponed-ms" to estimate.postponed.inWholeMilliseconds
             "idle-ms" to estimate.idle.inWholeMilliseconds
             "objective-ms" to estimate.objective.inWholeMilliseconds
+            "patience-ms" to estimate.patience.inWholeMilliseconds
             "pause-ms" to retryAfter.inWholeMilliseconds
         }
         return retryAfter
@@ -285,6 +298,9 @@
     }
 
     private companion object {
+        /** Callers wait for at most this part of their time before they retry. */
+        const val RETURN_PARTS = 3
+
         /** Targets that may refuse a request before the caller is told to retry later. */
         const val MAXIMUM_REFUSALS = 3
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RoutingPieceExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RoutingPieceExecutor.kt
@@ -7,6 +7,7 @@
 import java.io.IOException
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.ServiceName
+import org.sapphirelever.decisions.forwarding.AnnouncedWork
 import org.sapphirelever.decisions.forwarding.WaitEstimate
 import org.sapphirelever.decisions.forwarding.assignmentOrder
 import org.sapphirelever.runtime.log.logEvent
@@ -52,6 +53,9 @@
         }
     }
 
+    override fun announcedWork(): List<AnnouncedWork> =
+        local.announcedWork() + peers.announcedWork()
+
     /** Hosts to try for pieces of [service], in assignment order, except avoided ones. */
     private fun owners(service: ServiceName): List<HostId> =
         assignmentOrder(service, state.hosts.value)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageExecutor.kt
@@ -16,8 +16,14 @@
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.ServiceName
+import org.sapphirelever.core.forwarding.BatchLimits
 import org.sapphirelever.core.forwarding.RouteStage
-import org.sapphirelever.decisions.forwarding.expectedStageTime
+import org.sapphirelever.decisions.forwarding.ServiceBacklog
+import org.sapphirelever.decisions.forwarding.StageTimes
+import org.sapphirelever.decisions.forwarding.expectedLaterTimes
+import org.sapphirelever.decisions.forwarding.forecastStages
+import org.sapphirelever.decisions.forwarding.laterPieces
+import org.sapphirelever.decisions.forwarding.permittedPiecesPerMilli
 import org.sapphirelever.decisions.forwarding.stagePredecessors
 
 /**
@@ -26,16 +32,15 @@
  * @property rank priority, where 0 is the most urgent
  * @property deadline time after which results are of no use
  * @property softDeadline time until which the response to the request meets its objective
+ * @property targetTime time that the target of the request needs after the stages
  */
 public data class StageSchedule(
     public val rank: Int,
     public val deadline: MonotonicTime,
-    public val softDeadline: MonotonicTime
+    public val softDeadline: MonotonicTime,
+    public val targetTime: Duration = ZERO
 )
 
-/** Expected duration of the stages of a request with empty queues and with the current ones. */
-public data class StageTimeEstimate(public val unloaded: Duration, public val current: Duration)
-
 /** Runs the stages of requests; [executor] executes their pieces. */
 public class StageExecutor(
     private val executor: PieceExecutor,
@@ -60,24 +65,27 @@
         }
     }
 
-    /** Expected time until [stages] are complete for [request], whose priority is [rank]. */
-    public fun expectedTime(
+    /** Expected duration of [stages] for [request], whose priority is [rank]. */
+    public fun expectedTimes(
         request: CallerRequest,
         stages: List<RouteStage>,
         rank: Int
-    ): StageTimeEstimate {
-        val table = state.configuration.value.table
-        val now = state.clock.now()
-        val limits = { service: ServiceName -> table?.service(service)?.batching }
-        val waits = { service: ServiceName ->
-            executor.waitEstimate(service)?.expectedWait(rank, now) ?: ZERO
+    ): StageTimes {
+        if (stages.isEmpty()) return StageTimes()
+        val announced = executor.announcedWork()
+        val backlogs = { service: ServiceName ->
+            val rate = limits(
+                service
+            )?.permittedPiecesPerMilli(state.availableTargets(service).size)
+            ServiceBacklog(service, executor.waitEstimate(service), announced, rate ?: 0.0)
         }
-        return StageTimeEstimate(
-            unloaded = expectedStageTime(stages, request.pieceCounts, limits) { ZERO },
-            current = expectedStageTime(stages, request.pieceCounts, limits, waits)
-        )
+        val now = state.clock.now()
+        return forecastStages(stages, request.pieceCounts, rank, ::limits, backlogs, now)
     }
 
+    private fun limits(service: ServiceName): BatchLimits? =
+        state.configuration.value.table?.service(service)?.batching
+
     private suspend fun CoroutineScope.runStages(
         request: CallerRequest,
         stages: List<RouteStage>,
@@ -86,13 +94,13 @@
     ): PersistentList<StageResult> {
         val consumed = stages.flatMap { it.after }.toSet()
         val predecessors = stagePredecessors(stages, request.pieceCounts)
+        val laterTimes = expectedLaterTimes(stages, request.pieceCounts, ::limits)
         val results = stages.map { CompletableDeferred<List<StageResult>>() }
         stages.forEachIndexed { index, stage ->
-            val count = request.pieceCounts.getOrElse(index) { 0 }
             launch {
                 predecessors[index].map { results[it] }.awaitAll()
                 val inputs = stage.after.map { results[it] }.awaitAll().flatten()
-                val produced = runStage(request, index, stage, inputs, count, schedule)
+                val produced = runStage(request, stages, index, inputs, laterTimes[index], schedule)
                 synchronized(made) { made += produced }
                 results[index].complete(produced)
                 executor.release(lastConsumed(stages, results, index))
@@ -115,12 +123,14 @@
 
     private suspend fun runStage(
         request: CallerRequest,
+        stages: List<RouteStage>,
         index: Int,
-        stage: RouteStage,
         inputs: List<StageResult>,
-        count: Int,
+        laterTime: Duration,
         schedule: StageSchedule
     ): List<StageResult> {
+        val stage = stages[index]
+        val count = request.pieceCounts.getOrElse(index) { 0 }
         if (count == 0) return emptyList()
         val handles = inputs.map { it.handle }.toPersistentList()
         val key = request.pieceKey.takeIf { stage.after.isEmpty() || handles.isEmpty() }
@@ -139,7 +149,9 @@
                 softDeadline = schedule.softDeadline,
                 inputs = inputBytes,
                 origin = origin,
-                orders = orders
+                orders = orders,
+                later = laterPieces(stages, request.pieceCounts, index).toPersistentMap(),
+                laterWork = laterTime + schedule.targetTime
             )
         return executor.execute(pieces)
     }
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PeerMessage.kt
@@ -24,6 +24,8 @@
     const val EIGHTH = 8L
     const val NINTH = 9L
     const val TENTH = 10L
+    const val ELEVENTH = 11L
+    const val TWELFTH = 12L
 }
 
 /** A message on a connection between two hosts. */
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
@@ -35,6 +35,8 @@
  * @property dataCentre data centre of the sender
  * @property softDeadlineMillis time until the soft deadline, which the objective sets
  * @property inputs size of the inputs in bytes, by data centre
+ * @property later number of pieces of the request that follow at other services
+ * @property laterMillis time that later stages and the target of the request need
  */
 @Serializable
 public data class MakePieces(
@@ -48,7 +50,9 @@
     @CborLabel(FieldLabel.EIGHTH) public val dataCentre: String,
     @CborLabel(FieldLabel.NINTH) @SerialName("aimMillis") public val softDeadlineMillis: Long,
     @CborLabel(FieldLabel.TENTH) public val inputs: Map<String, Long> = emptyMap(),
-    public val pieces: List<PieceOrderMessage>
+    public val pieces: List<PieceOrderMessage>,
+    @CborLabel(FieldLabel.ELEVENTH) public val later: Map<String, Int> = emptyMap(),
+    @CborLabel(FieldLabel.TWELFTH) public val laterMillis: Long = 0
 ) : PieceMessage
 
 /** Result of a piece: its [handle] at the target [maker], which made and stores it. */
@@ -77,17 +81,36 @@
     @CborLabel(FieldLabel.SECOND) public val results: List<MadePieceMessage>
 ) : PieceMessage
 
-/** Expected waiting time of new pieces of [service], by rank. */
+/**
+ * Expected waiting time of new pieces of [service], by rank.
+ *
+ * @property postponedMillis the same for pieces whose request cannot be on time
+ * @property piecesPerMilli rate at which the service completes pieces; 0 if unknown
+ */
 @Serializable
 public data class WaitEstimateMessage(
     @CborLabel(FieldLabel.FIRST) public val service: String,
-    @CborLabel(FieldLabel.SECOND) public val waitMillis: Map<Int, Long> = emptyMap()
+    @CborLabel(FieldLabel.SECOND) public val waitMillis: Map<Int, Long> = emptyMap(),
+    @CborLabel(FieldLabel.THIRD) public val postponedMillis: Map<Int, Long> = emptyMap(),
+    @CborLabel(FieldLabel.FOURTH) public val piecesPerMilli: Double = 0.0
 )
 
-/** Keep-alive of a host that works on [MakePieces] messages, with its current wait estimates. */
+/** Pieces, by rank, that will reach [service] from requests in an earlier stage. */
+@Serializable
+public data class AnnouncedPiecesMessage(
+    @CborLabel(FieldLabel.FIRST) public val service: String,
+    @CborLabel(FieldLabel.SECOND) public val pieces: Map<Int, Int> = emptyMap()
+)
+
+/**
+ * Keep-alive of a host that works on [MakePieces] messages, with its current wait estimates and the
+ * work that is on its way from it to other services.
+ */
 @Serializable
 public data class WorkContinues(
     @CborLabel(FieldLabel.FIRST)
     @SerialName("outlooks")
-    public val waitEstimates: List<WaitEstimateMessage> = emptyList()
+    public val waitEstimates: List<WaitEstimateMessage> = emptyList(),
+    @CborLabel(FieldLabel.SECOND)
+    public val announced: List<AnnouncedPiecesMessage> = emptyList()
 ) : PieceMessage
