--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/check/ConfigurationCheckTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/check/ConfigurationCheckTest.kt
@@ -79,7 +79,7 @@
 private fun keyed(vararg keys: Pair<String, PersistentList<String>>) =
     keys.map { (name, held) -> KeyedOrganisation(OrganisationName(name), held) }
 
-/** Guards against configurations that are sent although requests of callers will be lost by them. */
+/** Guards against configurations that are sent although callers will lose requests by them. */
 class ConfigurationCheckTest {
     private val second = ROUTE.copy(name = RouteName("second"))
 
