Record signals from the first statement of main

The handlers were installed after the classes were loaded and the settings were read; until then the JVM's default action applied.

ProcessSignals records signals before the commands are loaded, with classes of the JDK only, and passes them on when a command handles them: a reload is not lost, and a stop ends the process with 0, signal-received and host-stopped. Commands without handlers keep the default action.

--- a/cli/src/main/kotlin/org/sapphirelever/cli/Command.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/Command.kt
@@ -9,6 +9,8 @@
 import org.sapphirelever.core.settings.SettingGroup
 import org.sapphirelever.core.settings.SettingValues
 import org.sapphirelever.core.settings.settings
+import org.sapphirelever.runtime.host.ProcessSignals
+import org.sapphirelever.runtime.log.logEvent
 
 /** A positional argument; one that is not [required] may be absent. */
 public data class ArgumentDeclaration(
@@ -22,7 +24,8 @@
     public val values: SettingValues,
     public val arguments: Map<String, String>,
     public val output: PrintStream = System.out,
-    public val errors: PrintStream = System.err
+    public val errors: PrintStream = System.err,
+    public val signals: ProcessSignals = ProcessSignals()
 ) {
     /** Value of the argument [name], which the command must declare as required. */
     public fun argument(name: String): String = arguments.getValue(name)
@@ -37,6 +40,9 @@
     public val settings: SettingGroup get() = settings {}
     public val arguments: List<ArgumentDeclaration> get() = emptyList()
 
+    /** Whether [run] handles signals; otherwise they end the process at once. */
+    public val handlesSignals: Boolean get() = false
+
     /** Checks rules that involve several settings, before the command runs. */
     public fun FindingCollector.check(values: SettingValues): Unit = Unit
 
@@ -45,3 +51,12 @@
 
     public suspend fun run(invocation: Invocation): ExitCode
 }
+
+/** Exit code if a signal stops the process before it serves; null if none has arrived. */
+internal fun Invocation.stopAtStart(): ExitCode? {
+    if (!signals.isStopPending) return null
+    val code = ExitCode.SUCCESS
+    logEvent("signal-received") { "phase" to "starting" }
+    logEvent("host-stopped") { "code" to code.number }
+    return code
+}
--- a/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/ForwardCommand.kt
@@ -16,8 +16,6 @@
 import org.sapphirelever.platform.readHostFile
 import org.sapphirelever.runtime.forward.ForwardingHost
 import org.sapphirelever.runtime.forward.ProfileSource
-import org.sapphirelever.runtime.host.onReloadSignal
-import org.sapphirelever.runtime.host.onStopSignal
 import org.sapphirelever.runtime.transport.Sockets
 
 /** Runs a forwarding host until a signal stops it. */
@@ -61,6 +59,8 @@
             +checkOnly
         }
 
+    override val handlesSignals: Boolean get() = true
+
     override fun prepare() {
         preloadClasses(ForwardingHost::class.java, SERVING_PACKAGES)
     }
@@ -74,11 +74,11 @@
             invocation.output.println("settings are valid")
             return ExitCode.SUCCESS
         }
+        invocation.stopAtStart()?.let { return it }
         return Sockets().use { sockets ->
             val store = StoreClient(profile.store, sockets)
             val host = ForwardingHost(source, PlatformProtocol, store, sockets)
-            onStopSignal(host::signal)
-            onReloadSignal(host::reload)
+            invocation.signals.handle(stop = host::signal, reload = host::reload)
             host.run()
         }
     }
--- a/cli/src/main/kotlin/org/sapphirelever/cli/HostCommand.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/HostCommand.kt
@@ -27,7 +27,6 @@
 import org.sapphirelever.decisions.burn.Objective
 import org.sapphirelever.runtime.host.EntryHost
 import org.sapphirelever.runtime.host.HostSettings
-import org.sapphirelever.runtime.host.onStopSignal
 import org.sapphirelever.runtime.store.HttpPlatform
 import org.sapphirelever.runtime.target.HttpTargetClient
 
@@ -131,6 +130,7 @@
     override val name: String get() = "host"
     override val summary: String get() = "Runs an entry host."
     override val settings: SettingGroup get() = HostOptions.ALL
+    override val handlesSignals: Boolean get() = true
 
     override fun FindingCollector.check(values: SettingValues) {
         val ports = listOf(values[HostOptions.httpPort], values[HostOptions.peerPort])
@@ -145,9 +145,10 @@
             invocation.output.println("settings are valid")
             return ExitCode.SUCCESS
         }
+        invocation.stopAtStart()?.let { return it }
         return HttpTargetClient().use { client ->
             val host = EntryHost(settings, HttpPlatform(settings.platform), client)
-            onStopSignal(host::signal)
+            invocation.signals.handle(stop = host::signal)
             host.run()
         }
     }
--- a/cli/src/main/kotlin/org/sapphirelever/cli/StandInCommands.kt
+++ b/cli/src/main/kotlin/org/sapphirelever/cli/StandInCommands.kt
@@ -13,7 +13,7 @@
 import org.sapphirelever.core.ExitCode
 import org.sapphirelever.core.settings.SettingGroup
 import org.sapphirelever.core.settings.SettingValues
-import org.sapphirelever.runtime.host.onStopSignal
+import org.sapphirelever.runtime.host.ProcessSignals
 import org.sapphirelever.standins.EngineStandIn
 import org.sapphirelever.standins.PlatformStandIn
 import org.sapphirelever.standins.PoolStandIn
@@ -24,13 +24,15 @@
     override val name: String get() = "platform-standin"
     override val summary: String get() = "Runs a stand-in for the platform."
     override val settings: SettingGroup get() = PlatformOptions.ALL
+    override val handlesSignals: Boolean get() = true
 
     override suspend fun run(invocation: Invocation): ExitCode {
         val values = invocation.values
         val endpoint = Endpoint(values[ADDRESS], values[PlatformOptions.port].toInt())
         val limits = PlatformOptions.limits(values)
         return runUntilSignal(
-            listOf(PlatformStandIn(endpoint, limits, PlatformOptions.faults(values)))
+            listOf(PlatformStandIn(endpoint, limits, PlatformOptions.faults(values))),
+            invocation.signals
         )
     }
 }
@@ -66,9 +68,12 @@
 
 /** Runs one target stand-in for each port. */
 public abstract class TargetStandInCommand : Command {
+    override val handlesSignals: Boolean get() = true
+
     override suspend fun run(invocation: Invocation): ExitCode {
         val values = invocation.values
-        return runUntilSignal(values[TargetOptions.ports].map { target(values, it) })
+        val standIns = values[TargetOptions.ports].map { target(values, it) }
+        return runUntilSignal(standIns, invocation.signals)
     }
 
     /** Creates the stand-in that listens on [port]. */
@@ -81,12 +86,13 @@
     values[PoolOptions.timePerCharacter].microseconds
 )
 
-/** Runs [standIns] until the first stop signal. */
-private suspend fun runUntilSignal(standIns: List<StandIn>): ExitCode = coroutineScope {
-    val signal = CompletableDeferred<Unit>()
-    onStopSignal { signal.complete(Unit) }
-    standIns.forEach { standIn -> launch { standIn.run() } }
-    signal.await()
-    coroutineContext.cancelChildren()
-    ExitCode.SUCCESS
-}
+/** Runs [standIns] until the first of [signals] to stop. */
+private suspend fun runUntilSignal(standIns: List<StandIn>, signals: ProcessSignals): ExitCode =
+    coroutineScope {
+        val signal = CompletableDeferred<Unit>()
+        signals.handle(stop = { signal.complete(Unit) })
+        standIns.forEach { standIn -> launch { standIn.run() } }
+        signal.await()
+        coroutineContext.cancelChildren()
+        ExitCode.SUCCESS
+    }
