--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/RequestForecast.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/RequestForecast.kt
@@ -18,13 +18,15 @@
  * @property postponed the same behind all requests that can be on time
  * @property busiest service with the longest backlog, if any
  * @property work time that this service needs for the request
+ * @property reportAge age of the last report on this service, if it is still believed
  */
 public data class StageTimes(
     public val idle: Duration = Duration.ZERO,
     public val expected: Duration = Duration.ZERO,
     public val postponed: Duration = Duration.ZERO,
     public val busiest: ServiceName? = null,
-    public val work: Duration = Duration.ZERO
+    public val work: Duration = Duration.ZERO,
+    public val reportAge: Duration? = null
 )
 
 /**
@@ -61,6 +63,7 @@
                 Duration.ZERO
             } else {
                 (pieces.getValue(busiest.service) / rate).milliseconds
-            }
+            },
+        reportAge = busiest?.estimate?.takeUnless { it.isOutOfDate(now) }?.let { now - it.at }
     )
 }
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
@@ -179,12 +179,16 @@
     public val expected: Duration,
     public val postponed: Duration
 ) {
+    private val bound = maxOf(objective, idle + objective * MINIMUM_SLACK_RATIO)
+
+    /** Whether the request is expected to miss its objective, for work that is ahead of it. */
+    public val isLate: Boolean get() = expected > bound
+
     /** Time until room for the request is expected, or null if it can start now. */
-    public fun excess(): Duration? {
-        if (expected > patience) return expected - patience
-        val bound = maxOf(objective, idle + objective * MINIMUM_SLACK_RATIO)
-        if (expected <= bound || postponed <= patience * POSTPONED_SHARE) return null
-        return expected - bound
+    public fun excess(): Duration? = when {
+        expected > patience -> expected - patience
+        isLate && postponed > patience * POSTPONED_SHARE -> expected - bound
+        else -> null
     }
 
     private companion object {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
@@ -156,23 +156,36 @@
                 expected = times.expected + engineTime,
                 postponed = times.postponed + engineTime
             )
-        val excess = estimate.excess() ?: return null
-        val latest = remaining / RETURN_PARTS
-        val caller =
-            RefusedCaller(granted.rank, excess, times.work * state.hosts.value.size, latest)
+        val excess = estimate.excess()
+        if (excess == null) {
+            if (estimate.isLate) logStart("start-postponed", times, estimate, null)
+            return null
+        }
+        val work = times.work * state.hosts.value.size
+        val caller = RefusedCaller(granted.rank, excess, work, remaining / RETURN_PARTS)
         val retryAfter = refusals.returnAfter(times.busiest, caller)
-        logEvent("start-refused") {
+        logStart("start-refused", times, estimate, retryAfter)
+        return retryAfter
+    }
+
+    private fun logStart(
+        event: String,
+        times: StageTimes,
+        estimate: ResponseEstimate,
+        retryAfter: Duration?
+    ) {
+        logEvent(event) {
             "request" to request.id
             "route" to route.name
             "service" to times.busiest
+            "report-age-ms" to times.reportAge?.inWholeMilliseconds
             "expected-ms" to estimate.expected.inWholeMilliseconds
             "postponed-ms" to estimate.postponed.inWholeMilliseconds
             "idle-ms" to estimate.idle.inWholeMilliseconds
             "objective-ms" to estimate.objective.inWholeMilliseconds
             "patience-ms" to estimate.patience.inWholeMilliseconds
-            "pause-ms" to retryAfter.inWholeMilliseconds
+            "pause-ms" to retryAfter?.inWholeMilliseconds
         }
-        return retryAfter
     }
 
     /**
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StageExecutor.kt
@@ -74,9 +74,8 @@
         if (stages.isEmpty()) return StageTimes()
         val announced = executor.announcedWork()
         val backlogs = { service: ServiceName ->
-            val rate = limits(
-                service
-            )?.permittedPiecesPerMilli(state.availableTargets(service).size)
+            val targets = state.usableTargets(service).size
+            val rate = limits(service)?.permittedPiecesPerMilli(targets)
             ServiceBacklog(service, executor.waitEstimate(service), announced, rate ?: 0.0)
         }
         val now = state.clock.now()
