Announce readiness only while callers can connect

A caller of the notice soak got "connection refused" from a host that had just answered its readiness check: the check is served by another child of the supervisor, which may listen before the one for callers. Seen at one of nine starts, at a load average of 25 to 30 on 7 cores.

Readiness now also requires that the listener for callers is open.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -57,6 +57,9 @@
         GracefulShutdown(ShutdownTimes.within(profile.shutdownGracePeriod), clock, emptyList())
     private val metrics = ForwardingMetrics(state)
 
+    @Volatile
+    private var acceptsCallers = false
+
     /** Starts a graceful shutdown and withdraws the announcement of this host. */
     public fun signal() {
         feed.withdraw()
@@ -132,8 +135,12 @@
         val connections =
             CallerConnections(protocol, state, forwarding, shutdown, metrics)
         try {
-            sockets.listen(profile.callers).use { it.run(connections::serve) }
+            sockets.listen(profile.callers).use {
+                acceptsCallers = true
+                it.run(connections::serve)
+            }
         } finally {
+            acceptsCallers = false
             workScope.cancel()
         }
     }
@@ -153,7 +160,8 @@
         val isFresh = configuration.age(state.readClock())?.let { it < maximumAge } == true
         val hasTargets = state.directory.value.targets.isNotEmpty()
         val ready =
-            shutdown.announcesReady && isFresh && configuration.table != null && hasTargets
+            shutdown.announcesReady && acceptsCallers && isFresh &&
+                configuration.table != null && hasTargets
         return if (ready) OK else UNAVAILABLE
     }
 
