--- a/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcesses.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcesses.kt
@@ -41,7 +41,9 @@
         """"ready-address":"${profile.readiness}"},""" +
         """"internal-ports":[${profile.peers.port},${profile.peers.port}],""" +
         """"bounds":{"grace-s":${profile.shutdownGracePeriod.inWholeSeconds},""" +
-        """"revoke-ms":$revocationMillis,"budget-extra":52},""" +
+        """"revoke-ms":$revocationMillis,"budget-extra":52,""" +
+        """"cold-overshoot":${profile.coldTolerance.overshoot},""" +
+        """"cold-slack":${profile.coldTolerance.slack}},""" +
         """"platform":{"address":"${profile.store}"},"unknown":1}"""
 
 /** Runs a host as a process until [test] has ended; it gets the process and its log. */
