Keep the crash evidence of all hosts merged

Reports that the same hosts repeat cost nothing more.

CrashIndex keeps crashes, traits and successes merged and drops what has expired once a minute. Times of a listed report no longer count beside those of a report that was read as a change, since the index keeps the earliest time of a crash. CrashEvidence.received needs no host any more; its test follows.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashAttribution.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashAttribution.kt
@@ -52,40 +52,49 @@
 /** For a trait that requests have survived before, though not since the crashes. */
 private val PROVEN_THRESHOLD = BlockThreshold(5, 2.seconds)
 
+private fun unprovenThreshold(trait: RequestTrait): BlockThreshold =
+    if (trait.isWholeRequest) WHOLE_REQUEST_THRESHOLD else UNPROVEN_PART_THRESHOLD
+
+/** Crashes of requests with [trait] without which it is never blocked. */
+internal fun minimumCrashes(trait: RequestTrait): Int = unprovenThreshold(trait).crashes
+
 /** A trait, and the crashes since the last success of a request with it. */
 private class Suspect(
     val trait: RequestTrait,
     val isProven: Boolean,
-    val crashes: List<ObservedCrash>
+    val crashes: Collection<MonotonicTime>
 ) {
-    val firstAt: MonotonicTime = crashes.minOf { it.at }
-    val lastAt: MonotonicTime = crashes.maxOf { it.at }
+    val firstAt: MonotonicTime = crashes.min()
+    val lastAt: MonotonicTime = crashes.max()
 
     val isConvincing: Boolean
         get() {
-            val threshold = when {
-                isProven -> PROVEN_THRESHOLD
-                trait.isWholeRequest -> WHOLE_REQUEST_THRESHOLD
-                else -> UNPROVEN_PART_THRESHOLD
-            }
+            val threshold = if (isProven) PROVEN_THRESHOLD else unprovenThreshold(trait)
             return crashes.size >= threshold.crashes && lastAt - firstAt >= threshold.spread
         }
 }
 
 /**
- * The traits that explain [crashes]. Each crash is attributed to one trait, so that traits which
- * the crashed requests merely had in common with others are not blocked: first a trait without any
- * known success, then the one with most crashes, then the deepest, which fewest requests have.
+ * The traits that explain the crashes of [index]. Each crash is attributed to one trait, so that
+ * traits which the crashed requests merely had in common with others are not blocked: first a trait
+ * without any known success, then the one with most crashes, then the deepest, which fewest
+ * requests have.
  */
 internal fun attributeCrashes(
-    crashes: List<ObservedCrash>,
+    index: CrashIndex,
+    now: MonotonicTime,
     lastSurvival: (Fingerprint) -> MonotonicTime?
 ): PersistentMap<Fingerprint, TraitBlock> {
     var blocks = persistentMapOf<Fingerprint, TraitBlock>()
-    var unexplained = crashes
+    var unexplained = index.suspects.associateWith { fingerprint ->
+        index.crashesWith(index.traits.getValue(fingerprint), now)
+    }
     while (true) {
-        val cause = suspects(unexplained, lastSurvival)
-            .filter { it.isConvincing }
+        val cause = unexplained
+            .mapNotNull { (fingerprint, crashes) ->
+                val trait = index.traits.getValue(fingerprint).trait
+                suspect(trait, crashes.values, lastSurvival(fingerprint))
+            }.filter { it.isConvincing }
             .minWithOrNull(
                 compareBy<Suspect> { it.isProven }
                     .thenByDescending { it.crashes.size }
@@ -95,23 +104,16 @@
         val block =
             TraitBlock(trait, cause.isProven, cause.crashes.size, cause.firstAt, cause.lastAt)
         blocks = blocks.put(trait, block)
-        unexplained = unexplained.filterNot { trait in it.traits }
+        val explained = unexplained.getValue(trait).keys
+        unexplained = unexplained.mapValues { (_, crashes) -> crashes - explained }
     }
 }
 
-private fun suspects(
-    crashes: List<ObservedCrash>,
-    lastSurvival: (Fingerprint) -> MonotonicTime?
-): List<Suspect> = crashes
-    .flatMap { crash -> crash.traits.keys.map { it to crash } }
-    .groupBy({ it.first }, { it.second })
-    .mapNotNull { (trait, all) ->
-        val survivedAt = lastSurvival(trait)
-        val counted = all.filter { survivedAt == null || it.at > survivedAt }
-        val depth = all.minOf { it.traits.getValue(trait) }
-        if (counted.isEmpty()) {
-            null
-        } else {
-            Suspect(RequestTrait(trait, depth), survivedAt != null, counted)
-        }
-    }
+private fun suspect(
+    trait: RequestTrait,
+    crashes: Collection<MonotonicTime>,
+    survivedAt: MonotonicTime?
+): Suspect? {
+    val counted = crashes.filter { survivedAt == null || it > survivedAt }
+    return if (counted.isEmpty()) null else Suspect(trait, survivedAt != null, counted)
+}
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidence.kt
@@ -11,7 +11,6 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
-import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.forwarding.TargetIncarnation
 import org.sapphirelever.decisions.keys.Fingerprint
@@ -22,24 +21,31 @@
     public val traits: PersistentMap<Fingerprint, Int> = persistentMapOf()
 )
 
-/** What one host observed; [survivals] holds the last success of a request with a trait. */
+/**
+ * What one host observed.
+ *
+ * @property survivals last success of a request with a trait
+ * @property isExact whether the times are accurate to the delay of a report; those of a report of
+ *   unknown age are as wrong as the clocks of the hosts differ
+ */
 public data class HostEvidence(
     public val crashes: PersistentMap<TargetIncarnation, ObservedCrash> = persistentMapOf(),
-    public val survivals: PersistentMap<Fingerprint, MonotonicTime> = persistentMapOf()
+    public val survivals: PersistentMap<Fingerprint, MonotonicTime> = persistentMapOf(),
+    public val isExact: Boolean = true
 )
 
 /**
- * Evidence of this host and of [others].
+ * Evidence of this host and of others.
  *
  * @property blocks traits whose requests are not sent to targets
  * @property publishedAt time of the last publication of the evidence of this host
  */
 public data class CrashEvidence(
     public val own: HostEvidence = HostEvidence(),
-    public val others: PersistentMap<HostId, HostEvidence> = persistentMapOf(),
     public val blocks: PersistentMap<Fingerprint, TraitBlock> = persistentMapOf(),
     public val publishedAt: MonotonicTime? = null,
-    private val olderSurvivals: PersistentMap<Fingerprint, MonotonicTime> = persistentMapOf()
+    private val olderSurvivals: PersistentMap<Fingerprint, MonotonicTime> = persistentMapOf(),
+    private val index: CrashIndex = CrashIndex()
 ) {
     /** The block of one of [traits] that lasts longest, or null if none is blocked. */
     public fun blockOf(traits: List<RequestTrait>, now: MonotonicTime): TraitBlock? = traits
@@ -58,8 +64,11 @@
         val crash = added.fold(known) { all, trait ->
             all.copy(traits = all.traits.put(trait.fingerprint, trait.depth))
         }
-        return copy(own = own.copy(crashes = own.crashes.put(target, crash).newest(now)))
-            .reassessed(now)
+        val observed = HostEvidence(persistentMapOf(target to crash))
+        return copy(
+            own = own.copy(crashes = own.crashes.put(target, crash).newest(now)),
+            index = index.added(observed, now)
+        ).reassessed(now)
     }
 
     /** Records that a target answered a request with [traits] and did not crash. */
@@ -75,18 +84,15 @@
         return if (traits.any { it.fingerprint in blocks }) recorded.reassessed(now) else recorded
     }
 
-    /** Replaces the evidence of [host]. */
-    public fun received(host: HostId, evidence: HostEvidence, now: MonotonicTime): CrashEvidence {
-        val recent = others.filterValues { it.isRecent(now) }.toPersistentMap()
-        return copy(others = recent.put(host, evidence)).reassessed(now)
-    }
+    /** Adds the evidence that another host published. */
+    public fun received(evidence: HostEvidence, now: MonotonicTime): CrashEvidence =
+        copy(index = index.added(evidence, now)).reassessed(now)
 
     /** Time of the last known success of a request with [trait]. */
-    public fun lastSurvival(trait: Fingerprint): MonotonicTime? {
-        val ownSurvival = own.survivals[trait] ?: olderSurvivals[trait]
-        val otherSurvivals = others.values.mapNotNull { it.survivals[trait] }
-        return (otherSurvivals + listOfNotNull(ownSurvival)).maxOrNull()
-    }
+    public fun lastSurvival(trait: Fingerprint): MonotonicTime? = listOfNotNull(
+        own.survivals[trait] ?: olderSurvivals[trait],
+        index.survivals[trait]?.latest
+    ).maxOrNull()
 
     /**
      * Whether other hosts may lack the successes of [traits]: several crashes since the last
@@ -94,47 +100,27 @@
      */
     public fun isSurvivalDisputed(traits: List<RequestTrait>): Boolean {
         if (traits.any { it.fingerprint in blocks }) return true
-        val recent = (others.values + own)
-            .flatMap { it.crashes.entries }
-            .filter { crash -> publishedAt?.let { crash.value.at > it } ?: true }
         return traits.any { trait ->
-            val targets = recent.filter { trait.fingerprint in it.value.traits }.map { it.key }
-            targets.distinct().size >= DISPUTED_CRASHES
+            val targets = index.traits[trait.fingerprint]?.targets ?: return@any false
+            targets.count { target ->
+                val latest = index.crashes.getValue(target).time.latest
+                publishedAt?.let { latest > it } ?: true
+            } >= DISPUTED_CRASHES
         }
     }
 
     /** What this host publishes: its crashes, and its successes with the traits of any crash. */
     public fun publication(): HostEvidence {
-        val traits = allCrashes().flatMap { it.traits.keys }.toSet()
-        val survivals = traits
-            .mapNotNull { trait ->
-                (own.survivals[trait] ?: olderSurvivals[trait])?.let { trait to it }
-            }.sortedByDescending { it.second }
+        val survivals = olderSurvivals.putAll(own.survivals).entries
+            .filter { it.key in index.traits }
+            .sortedByDescending { it.value }
             .take(MAXIMUM_TRAITS)
-        return HostEvidence(own.crashes, survivals.toMap().toPersistentMap())
+            .associate { it.key to it.value }
+        return HostEvidence(own.crashes, survivals.toPersistentMap())
     }
 
-    /** Draws the conclusions from all evidence. */
-    public fun reassessed(now: MonotonicTime): CrashEvidence {
-        val recent = allCrashes().filter { now - it.at < VALIDITY }
-        return copy(blocks = attributeCrashes(recent, ::lastSurvival))
-    }
-
-    /** All known crashes, each with the traits that any host observed. */
-    private fun allCrashes(): List<ObservedCrash> = (others.values + own)
-        .flatMap { it.crashes.entries }
-        .groupBy({ it.key }, { it.value })
-        .values
-        .map { reports ->
-            ObservedCrash(
-                // Reports of other hosts arrive late, so the earliest time is the most accurate.
-                reports.minOf { it.at },
-                reports.fold(persistentMapOf()) { all, report -> all.putAll(report.traits) }
-            )
-        }
-
-    private fun HostEvidence.isRecent(now: MonotonicTime): Boolean =
-        crashes.values.any { now - it.at < VALIDITY }
+    private fun reassessed(now: MonotonicTime): CrashEvidence =
+        copy(blocks = attributeCrashes(index, now, ::lastSurvival))
 
     public companion object {
         /** Time after which a crash no longer counts. */
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidenceTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/suspicion/CrashEvidenceTest.kt
@@ -7,7 +7,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
-import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.TargetIncarnation
@@ -101,8 +100,8 @@
                 CrashEvidence().apply(Event(0.seconds, null, listOf("common,a"))).apply(event)
             }
         val evidence =
-            reports.foldIndexed(CrashEvidence()) { index, all, report ->
-                all.received(HostId("e-$index"), report.publication(), START)
+            reports.fold(CrashEvidence()) { all, report ->
+                all.received(report.publication(), START)
             }
         assertEquals(setOf(traitOf("dead").fingerprint), evidence.blocks.keys.toSet())
     }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -291,8 +291,8 @@
         if (entry.host == state.profile.host) return
         val now = state.readClock()
         val elapsed = elapsed(entry.report.publishedAt, now, isFullListing)
-        val evidence = entry.report.toEvidence(now, elapsed)
-        state.updateCrashes { it.received(entry.host, evidence, now.monotonic) }
+        val evidence = entry.report.toEvidence(now, elapsed).copy(isExact = !isFullListing)
+        state.updateCrashes { it.received(evidence, now.monotonic) }
     }
 
     private fun receive(entry: StoreEntry.Limits, isFullListing: Boolean) {
