--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceBatch.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/PieceBatch.kt
@@ -116,19 +116,23 @@
     context: PieceContext
 ): List<WaitingPiece> {
     val piecesByRequest = waiting.groupingBy { it.request }.eachCount()
-    return waiting.sortedWith(
-        compareBy(
-            { it.rank },
-            { it.isPostponed(context.limits, context.now) },
-            { piece ->
-                val megabytes = piece.remoteBytes(dataCentre) / BYTES_PER_MEGABYTE
-                piece.latestEnd +
-                    DELAY_PER_MEGABYTE * megabytes * piecesByRequest.getValue(piece.request)
-            }
-        )
-    )
+    return waiting
+        .map { piece ->
+            val megabytes = piece.remoteBytes(dataCentre) / BYTES_PER_MEGABYTE
+            val delay = DELAY_PER_MEGABYTE * megabytes * piecesByRequest.getValue(piece.request)
+            val isPostponed = piece.isPostponed(context.limits, context.now)
+            OrderedPiece(piece, isPostponed, piece.latestEnd + delay)
+        }.sortedWith(compareBy({ it.piece.rank }, { it.isPostponed }, { it.end }))
+        .map { it.piece }
 }
 
+/** A [piece] with its place in the order, computed once for each. */
+private class OrderedPiece(
+    val piece: WaitingPiece,
+    val isPostponed: Boolean,
+    val end: MonotonicTime
+)
+
 /** Calls that a new call is expected to wait for, plus penalties for remote targets and ties. */
 private fun expectedCallsAhead(
     target: TargetRecord,
