Keep the count of calls in flight when a target restarts

Callers saw: after an engine had restarted, more requests went to it than to its peers. Cause: its view was dropped with the calls in flight; each of them then lowered the new count below zero when it ended. Change: a restart drops what is known of the target, but not the number of calls in flight.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -129,9 +129,9 @@
         views.update { it.put(target, change(it[target] ?: TargetView())) }
     }
 
-    /** Drops the view of a target that was removed or restarted. */
+    /** Drops the view of a target that was removed or restarted, except for calls in flight. */
     public fun forget(target: TargetId) {
-        views.update { it.remove(target) }
+        updateView(target) { TargetView(outstanding = it.outstanding) }
     }
 
     public fun recordLoad(target: TargetId, load: ReportedLoad) {
