Choose engines by the expected time to the first token

Callers saw: engines of 0.7 and 1.7 times the normal speed counted as equally fast; an engine that nobody had heard of for 2 s counted as idle; a prompt was read where all places were taken; reported memory and a fixed minute decided nothing about what was still kept. Cause: the choice added constants (40 prompt tokens a ms, 2 ms for each running and 60 ms for each waiting request, five times the prefill for a missing part). Change: speed is measured by first events and begins with the median of the peers; the load of others in a report decays to the mean of the engines; the wait for a place follows from the places and the measured duration of requests; kept parts age with the tokens that engines load; what a request costs others (displaced parts, delayed requests, preemption near the end of the memory) is added. A second engine for a popular beginning follows from the weighing. Admission asks the same forecast. target-chosen names what was weighed; metrics count kept and read tokens. Plain services keep their choice by load. Tests: EngineChoiceTest keeps its cases; forgetting of old parts is now bounded in number, where it was bounded by a minute, so its test checks the bound for ten times as many parts and that the newest stay.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
@@ -132,13 +132,6 @@
     }
 }
 
-/** Expected time from the end of the stages to the first token of an engine. */
-public fun expectedFirstToken(promptTokens: Int): Duration =
-    FIRST_TOKEN_OVERHEAD + (promptTokens / PREFILL_TOKENS_PER_MILLI).milliseconds
-
-/** Time to the first token besides prefill, at an engine that runs other requests. */
-private val FIRST_TOKEN_OVERHEAD = 150.milliseconds
-
 /** Minimum fraction of the permitted rate assumed, since a pause of the targets may be over. */
 private const val MINIMUM_RATE_RATIO = 0.2
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
@@ -54,6 +54,12 @@
         count("sapphirelever_target_pause_requests_total", "Refusals that ask for a pause") {
             state.notices.pauseRequests.get()
         }
+        count("sapphirelever_prompt_tokens_kept_total", "Tokens that engines probably had cached") {
+            state.prompts.keptTokens
+        }
+        count("sapphirelever_prompt_tokens_read_total", "Tokens that engines probably read") {
+            state.prompts.readTokens
+        }
         gauge("sapphirelever_message_memory_held_bytes", "Memory that messages hold") {
             state.memory.heldBytes.toDouble()
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -62,6 +62,9 @@
     /** Targets that leave or want a pause, as they stated in their answers. */
     public val notices: TargetNotices = TargetNotices(this)
 
+    /** What engines did with the prompts of this host. */
+    public val prompts: PromptObservations = PromptObservations(this)
+
     /** Signals that the crash evidence of this host should be published. */
     public val crashReportDue: Channel<Unit> = Channel(Channel.CONFLATED)
     private val views: StateCell<PersistentMap<TargetId, TargetView>> =
@@ -135,9 +138,18 @@
     }
 
     public fun recordLoad(target: TargetId, load: ReportedLoad) {
-        val report =
-            LoadReport(load.running, load.waiting, load.slots, load.slownessPercent, clock.now())
-        updateView(target) { it.copy(report = report) }
+        val now = clock.now()
+        updateView(target) { view ->
+            val report = LoadReport(
+                running = load.running,
+                waiting = load.waiting,
+                slots = load.slots,
+                slownessPercent = load.slownessPercent,
+                at = now,
+                own = view.outstanding
+            )
+            view.copy(report = report)
+        }
     }
 
     /** Records that a call to [target] took about its expected duration. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestExecution.kt
@@ -18,10 +18,13 @@
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.ChoiceContext
+import org.sapphirelever.decisions.forwarding.EngineChoice
 import org.sapphirelever.decisions.forwarding.PromptShape
 import org.sapphirelever.decisions.forwarding.ResponseEstimate
 import org.sapphirelever.decisions.forwarding.chooseEngine
 import org.sapphirelever.decisions.forwarding.expectedFirstToken
+import org.sapphirelever.decisions.forwarding.forecastAt
 import org.sapphirelever.decisions.forwarding.leastLoaded
 import org.sapphirelever.decisions.suspicion.TraitBlock
 import org.sapphirelever.runtime.log.logEvent
@@ -36,6 +39,7 @@
     private val guard = parts.guard
     private val refusals = parts.refusals
     private val request = admitted.request
+    private val prompt = request.prompt ?: PromptShape()
     private val response = admitted.response
     private val granted = admitted.granted
     private val traits = admitted.traits
@@ -56,7 +60,7 @@
         get() = remaining > MINIMUM_CALL_TIME && parts.shutdown.hasTimeFor(MINIMUM_CALL_TIME)
 
     private val engineTime: Duration
-        get() = expectedFirstToken(request.prompt?.tokens ?: 0)
+        get() = expectedFirstToken(remainingTargets(), prompt, choiceContext())
 
     suspend fun run(): ForwardOutcome {
         try {
@@ -175,10 +179,10 @@
         while (true) {
             val block = guard.blockOf(traits)
             if (block != null && block.trait != trialOf?.trait) return failBlocked(block)
-            val target = nextTarget() ?: return failWithoutTarget()
+            val choice = nextTarget() ?: return failWithoutTarget()
             if (!remaining.isPositive()) return fail("deadline-passed")
             if (hasNotRun && !parts.shutdown.hasTimeFor(engineTime)) return refuseStopping()
-            conclude(call(target), target)?.let { return it }
+            conclude(call(choice), choice.target)?.let { return it }
         }
     }
 
@@ -201,7 +205,7 @@
     }
 
     /** Chooses a target, and waits shortly if all are at their request limit. */
-    private suspend fun nextTarget(): TargetRecord? {
+    private suspend fun nextTarget(): EngineChoice? {
         while (true) {
             choose()?.let { return it }
             if (!limitWait.await(remainingTargets())) return null
@@ -235,25 +239,29 @@
             guard.blockOf(traits) == null && hasTimeForCall &&
             state.tryTakeRetry(granted.service)
 
-    private fun choose(): TargetRecord? {
+    private fun choose(): EngineChoice? {
         val available = state.availableTargets(granted.service)
         val candidates = available.filterNot { it.id in excluded }
-        val prompt = request.prompt ?: PromptShape()
-        if (trialOf != null) return leastLoaded(candidates, state.targetViews)
-        return chooseEngine(
-            candidates,
-            state.targetViews,
-            prompt,
-            results.bytesByDataCentre(),
-            state.profile.dataCentre,
-            state.clock.now()
-        )
+        val context = choiceContext()
+        if (trialOf == null) return chooseEngine(candidates, prompt, context)
+        return leastLoaded(candidates, context.views)?.let { forecastAt(it, prompt, context) }
     }
 
-    private suspend fun call(target: TargetRecord): AttemptOutcome {
+    private fun choiceContext(): ChoiceContext = ChoiceContext(
+        views = state.targetViews,
+        request = request.id,
+        dataCentre = state.profile.dataCentre,
+        now = state.clock.now(),
+        limits = state.configuration.value.table?.service(granted.service)?.engine,
+        totals = state.prompts.totals(granted.service),
+        hosts = state.hosts.value.size,
+        results = results.bytesByDataCentre()
+    )
+
+    private suspend fun call(choice: EngineChoice): AttemptOutcome {
         val isTrial = trialOf != null
         trialOf = null
-        return TargetAttempt(parts, admitted, stream, target, results, isTrial) {
+        return TargetAttempt(parts, admitted, stream, choice, results, isTrial) {
             if (results.isNotEmpty()) {
                 areResultsConsumed = true
                 releaseResults()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
@@ -3,9 +3,9 @@
  */
 package org.sapphirelever.runtime.forward
 
+import java.util.Locale
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.async
@@ -13,13 +13,12 @@
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.MonotonicTime
-import org.sapphirelever.core.forwarding.TargetRecord
-import org.sapphirelever.decisions.forwarding.withCached
+import org.sapphirelever.decisions.forwarding.EngineChoice
 import org.sapphirelever.runtime.log.logEvent
 
 /**
- * Sends [admitted] once to [target], with the [results] of its stages. Events of a stream are
- * written as they arrive; [onFirstEvent] runs before the first one.
+ * Sends [admitted] once to the target of [choice], with the [results] of its stages. Events of a
+ * stream are written as they arrive; [onFirstEvent] runs before the first one.
  *
  * @property isTrial whether the request is sent to find out whether it still crashes targets
  */
@@ -27,7 +26,7 @@
     private val parts: ForwardingParts,
     private val admitted: AdmittedRequest,
     private val stream: StreamDelivery,
-    private val target: TargetRecord,
+    choice: EngineChoice,
     private val results: List<StageResult>,
     private val isTrial: Boolean,
     private val onFirstEvent: () -> Unit
@@ -35,14 +34,17 @@
     private val state = parts.state
     private val guard = parts.guard
     private val request = admitted.request
-    private val unreadTokens = request.prompt?.tokens ?: 0
+    private val target = choice.target
+    private val forecast = choice.forecast
     private var firstEventAt: MonotonicTime? = null
     private var hasSurvived = false
 
     suspend fun run(): AttemptOutcome {
         val remaining = admitted.deadline - state.clock.now()
         logChoice(remaining)
-        state.updateView(target.id) { it.copy(unreadTokens = it.unreadTokens + unreadTokens) }
+        val prompt = request.prompt?.let {
+            state.prompts.send(admitted.granted.service, target.id, it, forecast)
+        }
         try {
             val head = parts.protocol.targetHead(request, options(remaining))
             val sent = TargetRequest(head, admitted.body)
@@ -52,17 +54,12 @@
                         target,
                         sent,
                         request.id,
-                        remaining + RESPONSE_GRACE,
-                        ::receive
-                    )
+                        remaining + RESPONSE_GRACE
+                    ) { receive(it, prompt) }
                 }
             return toAttemptOutcome(outcome)
         } finally {
-            if (firstEventAt == null) {
-                state.updateView(target.id) {
-                    it.copy(unreadTokens = it.unreadTokens - unreadTokens)
-                }
-            }
+            prompt?.end()
         }
     }
 
@@ -117,7 +114,10 @@
             }
         }
 
-    private suspend fun receive(source: OpenResponse): AttemptOutcome {
+    private suspend fun receive(
+        source: OpenResponse,
+        prompt: PromptObservations.PromptObservation?
+    ): AttemptOutcome {
         val reply = source.reply
         if (reply.notRun) {
             source.body.skipWholeOrThrow()
@@ -130,7 +130,7 @@
             if (!stream.mayContinueWith(source)) {
                 return AttemptOutcome.MayHaveRun("target ${target.id} does not resume the stream")
             }
-            stream.deliver(source, ::recordEvents)
+            stream.deliver(source) { recordEvents(prompt) }
             guard.survived(admitted.traits)
             return AttemptOutcome.Delivered(ForwardOutcome(reply.status, "answered", target.id))
         }
@@ -140,12 +140,12 @@
         return AttemptOutcome.Answered(complete)
     }
 
-    private fun recordEvents() {
+    private fun recordEvents(prompt: PromptObservations.PromptObservation?) {
         val now = state.clock.now()
         val startedAt = firstEventAt
         if (startedAt == null) {
             firstEventAt = now
-            recordPromptRead(now)
+            prompt?.begin()
             onFirstEvent()
         } else if (!hasSurvived && now - startedAt >= SUSTAINED_ANSWER) {
             hasSurvived = true
@@ -153,13 +153,6 @@
         }
     }
 
-    private fun recordPromptRead(now: MonotonicTime) {
-        val shared = request.prompt?.shared ?: persistentListOf()
-        state.updateView(target.id) { view ->
-            view.copy(unreadTokens = view.unreadTokens - unreadTokens).withCached(shared, now)
-        }
-    }
-
     private fun logChoice(remaining: Duration) {
         val view = state.targetViews[target.id]
         logEvent("target-chosen") {
@@ -170,6 +163,17 @@
             "remaining-ms" to remaining.inWholeMilliseconds
             "outstanding" to view?.outstanding
             "unread-tokens" to view?.unreadTokens
+            "expected-ms" to forecast.waitMillis.toLong()
+            "others-ms" to forecast.othersMillis.toLong()
+            "kept-tokens" to forecast.keptTokens
+            "read-tokens" to forecast.readTokens
+            "speed" to
+                view?.speed?.takeIf { it.samples.isNotEmpty() }?.let {
+                    "%.2f".format(
+                        Locale.ROOT,
+                        it.ratio * it.slowness
+                    )
+                }
             "report" to view?.report?.let { "${it.running}/${it.waiting}/${it.slots}" }
             "report-age-ms" to
                 view?.report?.let { (state.clock.now() - it.at).inWholeMilliseconds }
