--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
@@ -205,13 +205,6 @@
 
 internal fun List<Set<Int>>.depth(index: Int): Int = this[index].maxOfOrNull { depth(it) + 1 } ?: 0
 
-/** Expected time from the end of the stages to the first token of an engine. */
-public fun expectedFirstToken(promptTokens: Int): Duration =
-    FIRST_TOKEN_OVERHEAD + (promptTokens / PREFILL_TOKENS_PER_MILLI).milliseconds
-
-/** Time to the first token besides prefill, at an engine that runs other requests. */
-private val FIRST_TOKEN_OVERHEAD = 150.milliseconds
-
 /** Share of the rate that more urgent pieces are assumed to take at most. */
 private const val MAXIMUM_URGENT_SHARE = 0.8
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
@@ -71,6 +71,12 @@
             val targets = state.directory.value.targets.values.map { it.record }
             targets.count { state.shares.coldFor(it).isPositive() }.toDouble()
         }
+        count("sapphirelever_prompt_tokens_kept_total", "Tokens that engines probably had cached") {
+            state.prompts.keptTokens
+        }
+        count("sapphirelever_prompt_tokens_read_total", "Tokens that engines probably read") {
+            state.prompts.readTokens
+        }
         gauge("sapphirelever_message_memory_held_bytes", "Memory that messages hold") {
             state.memory.heldBytes.toDouble()
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -65,6 +65,9 @@
     /** Targets that leave or want a pause, as they stated in their answers. */
     public val notices: TargetNotices = TargetNotices(this)
 
+    /** What engines did with the prompts of this host. */
+    public val prompts: PromptObservations = PromptObservations(this)
+
     /** Signals that the crash evidence of this host should be published. */
     public val crashReportDue: Channel<Unit> = Channel(Channel.CONFLATED)
     private val views: StateCell<PersistentMap<TargetId, TargetView>> =
@@ -132,15 +135,24 @@
         views.update { it.put(target, change(it[target] ?: TargetView())) }
     }
 
-    /** Drops the view of a target that was removed or restarted. */
+    /** Drops the view of a target that was removed or restarted, except for calls in flight. */
     public fun forget(target: TargetId) {
-        views.update { it.remove(target) }
+        updateView(target) { TargetView(outstanding = it.outstanding) }
     }
 
     public fun recordLoad(target: TargetId, load: ReportedLoad) {
-        val report =
-            LoadReport(load.running, load.waiting, load.slots, load.slownessPercent, clock.now())
-        updateView(target) { it.copy(report = report) }
+        val now = clock.now()
+        updateView(target) { view ->
+            val report = LoadReport(
+                running = load.running,
+                waiting = load.waiting,
+                slots = load.slots,
+                slownessPercent = load.slownessPercent,
+                at = now,
+                own = view.outstanding
+            )
+            view.copy(report = report)
+        }
     }
 
     /** Records that a call to [target] took about its expected duration. */
