--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageForecast.kt
@@ -103,6 +103,10 @@
     return measured.coerceIn(permitted * MINIMUM_RATE_RATIO, permitted)
 }
 
+/** Whether [pieces] pieces take [targets] targets longer than one full call. */
+public fun BatchLimits.takesLongerThanCall(pieces: Int, targets: Int): Boolean =
+    pieces > targets * slots * batch
+
 /** Pieces per millisecond that [targets] targets complete in full calls. */
 public fun BatchLimits.permittedPiecesPerMilli(targets: Int): Double =
     targets * slots * batch / callDuration(batch).toDouble(DurationUnit.MILLISECONDS)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/LocalPieceExecutor.kt
@@ -69,6 +69,9 @@
     /** Work on its way from this host to other services. */
     public fun ownAnnouncedWork(): AnnouncedWork = announcements.current()
 
+    /** Whether other hosts need this announcement to admit requests. */
+    public fun isAnnouncementDue(): Boolean = announcements.isLong()
+
     override fun release(results: List<StageResult>) {
         // The capacity is free only after the producer has been told.
         results.forEach { releases.release(it) { queue(it.producer.service).free(it.handle) } }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
@@ -54,9 +54,9 @@
         while (true) {
             delay(REPORT_PERIOD)
             val estimates = executor.waitEstimates()
-            val announced = executor.ownAnnouncedWork()
-            val isIdle = jobs.isEmpty() && estimates.isEmpty() && announced.pieces.isEmpty()
-            if (!isIdle) connection.send(reportOf(estimates, announced))
+            if (jobs.isNotEmpty() || estimates.isNotEmpty() || executor.isAnnouncementDue()) {
+                connection.send(reportOf(estimates, executor.ownAnnouncedWork()))
+            }
         }
     }
 
