Adapt tests and the stage load to the merged interfaces

The choice of engines takes what is known of them, so the stage load states the time of its simulated engines itself. Two fixtures name the new bound of the configuration, and records of targets take the time at which they were read.

--- a/load/src/main/kotlin/org/sapphirelever/load/experiment/StageLoad.kt
+++ b/load/src/main/kotlin/org/sapphirelever/load/experiment/StageLoad.kt
@@ -34,7 +34,16 @@
     public val promptTokens: Int,
     public val worth: Double,
     public val lateWorth: Double
-)
+) {
+    /** Time that an engine of standard speed takes until its first token. */
+    internal val firstTokenTime: Duration
+        get() = FIRST_TOKEN_OVERHEAD + (promptTokens / PROMPT_TOKENS_PER_MILLI).milliseconds
+
+    private companion object {
+        val FIRST_TOKEN_OVERHEAD = 150.milliseconds
+        const val PROMPT_TOKENS_PER_MILLI = 40.0
+    }
+}
 
 /** A burst: arrivals of [kind] are multiplied by [factor] for [duration] from [from] on. */
 public data class Burst(
--- a/load/src/main/kotlin/org/sapphirelever/load/experiment/StageLoadSimulation.kt
+++ b/load/src/main/kotlin/org/sapphirelever/load/experiment/StageLoadSimulation.kt
@@ -36,7 +36,6 @@
 import org.sapphirelever.decisions.forwarding.add
 import org.sapphirelever.decisions.forwarding.adjusted
 import org.sapphirelever.decisions.forwarding.ended
-import org.sapphirelever.decisions.forwarding.expectedFirstToken
 import org.sapphirelever.decisions.forwarding.expectedLaterTimes
 import org.sapphirelever.decisions.forwarding.forecastStages
 import org.sapphirelever.decisions.forwarding.laterPieces
@@ -148,7 +147,7 @@
             val softDeadline = softDeadline(attempt)
             val later =
                 expectedLaterTimes(kind.stages, attempt.caller.counts, ::limits)[stage] +
-                    expectedFirstToken(kind.promptTokens)
+                    kind.firstTokenTime
             return WaitingPiece(
                 number = ++numbers,
                 request = attempt.id,
@@ -251,7 +250,7 @@
                 ::backlog,
                 events.now
             )
-        val engineTime = expectedFirstToken(kind.promptTokens)
+        val engineTime = kind.firstTokenTime
         val excess =
             ResponseEstimate(
                 objective = kind.objective,
@@ -314,7 +313,7 @@
     private fun callEngine(attempt: SimulatedAttempt) {
         val kind = attempt.caller.kind
         val time =
-            expectedFirstToken(kind.promptTokens) *
+            kind.firstTokenTime *
                 random.nextDouble(FASTEST_ENGINE, SLOWEST_ENGINE)
         events.after(time + HOP) {
             if (attempt.hasEnded) return@after
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/PeerPieceClientTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/PeerPieceClientTest.kt
@@ -95,7 +95,7 @@
         val state = ForwardingState(profile(endpoint), SystemMonotonicClock)
         state.hosts.update { it.put(owner, HostAnnouncement(endpoint, FULL_CAPACITY)) }
         val target = TargetRecord(TargetId("t-1"), service, endpoint, site, 1, false, 1)
-        state.directory.update { it.put(target) }
+        state.directory.update { it.put(target, SystemMonotonicClock.now()) }
         return state
     }
 
@@ -121,6 +121,7 @@
         store = endpoint,
         shutdownGracePeriod = 1.seconds,
         maximumRevocationDelay = 1.seconds,
+        maximumConfigurationDelay = 2.seconds,
         retryBudgetRatio = 0.2,
         retryBudgetExtra = 1,
         retryBudgetWindow = 1.seconds,
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/PromptObservationsTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/forward/PromptObservationsTest.kt
@@ -77,6 +77,7 @@
             store = Endpoint("127.0.0.1", 5),
             shutdownGracePeriod = 8.seconds,
             maximumRevocationDelay = 5.seconds,
+            maximumConfigurationDelay = 2.seconds,
             retryBudgetRatio = 0.2,
             retryBudgetExtra = 60,
             retryBudgetWindow = 10.seconds,
