--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashIndex.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/suspicion/CrashIndex.kt
@@ -1,6 +1,6 @@
 /*
- * Crashes and successes that all hosts observed, indexed so that the cost of one more report depends
- * on its size and not on the reports before it.
+ * Crashes and successes that all hosts observed, indexed so that the cost of one more report
+ * depends on its size and not on the reports before it.
  */
 package org.sapphirelever.decisions.suspicion
 
