--- a/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcesses.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ForwardProcesses.kt
@@ -35,14 +35,18 @@
 ).redirectErrorStream(true).redirectOutput(output).start()
 
 /** The settings file of the host described by [profile]. */
-internal fun settingsJson(profile: HostProfile, revocationMillis: Int): String =
-    """{"node":"${profile.host}","zone":"${profile.dataCentre}","ip":"127.0.0.1",""" +
-        """"listen":{"front":"${profile.callers}",""" +
-        """"ready-address":"${profile.readiness}"},""" +
-        """"internal-ports":[${profile.peers.port},${profile.peers.port}],""" +
-        """"bounds":{"grace-s":${profile.shutdownGracePeriod.inWholeSeconds},""" +
-        """"revoke-ms":$revocationMillis,"budget-extra":52},""" +
-        """"platform":{"address":"${profile.store}"},"unknown":1}"""
+internal fun settingsJson(
+    profile: HostProfile,
+    revocationMillis: Int,
+    limits: String = "{}"
+): String = """{"limits":$limits,""" +
+    """"node":"${profile.host}","zone":"${profile.dataCentre}","ip":"127.0.0.1",""" +
+    """"listen":{"front":"${profile.callers}",""" +
+    """"ready-address":"${profile.readiness}"},""" +
+    """"internal-ports":[${profile.peers.port},${profile.peers.port}],""" +
+    """"bounds":{"grace-s":${profile.shutdownGracePeriod.inWholeSeconds},""" +
+    """"revoke-ms":$revocationMillis,"budget-extra":52},""" +
+    """"platform":{"address":"${profile.store}"},"unknown":1}"""
 
 /** Runs a host as a process until [test] has ended; it gets the process and its log. */
 internal fun withForwardProcess(
