--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/log/EventLog.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/log/EventLog.kt
@@ -17,12 +17,26 @@
 
     internal fun line(event: String): String = (listOf("event=$event") + pairs).joinToString(" ")
 
-    private fun quote(value: String): String =
-        if (value.isNotEmpty() && value.none { it.isWhitespace() || it == '"' || it == '=' }) {
-            value
-        } else {
-            "\"" + value.replace("\"", "'").replace("\n", " ") + "\""
-        }
+    private fun quote(value: String): String {
+        val escaped = escape(value.replace('\n', ' '))
+        val isPlain =
+            value.isNotEmpty() && value.none { it.isWhitespace() || it == '"' || it == '=' }
+        return if (isPlain) escaped else "\"" + escaped.replace("\"", "'") + "\""
+    }
+
+    /** Escapes what could end a line, drive a terminal or be no valid text. */
+    private fun escape(value: String): String =
+        if (value.all { it in PRINTABLE }) value else value.map(::escape).joinToString("")
+
+    private fun escape(character: Char): String = if (character in PRINTABLE) {
+        character.toString()
+    } else {
+        "\\u%04x".format(character.code)
+    }
+
+    private companion object {
+        val PRINTABLE = ' '..'~'
+    }
 }
 
 /**
