--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/supervision/Supervisor.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/supervision/Supervisor.kt
@@ -110,7 +110,12 @@
         history: RestartHistory,
         index: Int
     ): RestartDecision.Restart {
-        val decision = policy.onFailure(history, index, children.size, clock.now())
+        val decision =
+            if (failure.isMemoryExhausted) {
+                RestartDecision.Escalate
+            } else {
+                policy.onFailure(history, index, children.size, clock.now())
+            }
         logWarning("child-failed") {
             "supervisor" to name
             "child" to children[index].name
@@ -124,6 +129,10 @@
         }
     }
 
+    /** Other tasks may have ended by the same error, so that only a new process is sound. */
+    private val Throwable.isMemoryExhausted: Boolean
+        get() = generateSequence(this) { it.cause }.any { it is OutOfMemoryError }
+
     private fun CoroutineScope.start(
         index: Int,
         runNumber: Long,
--- a/runtime/src/test/kotlin/org/sapphirelever/runtime/supervision/SupervisorTest.kt
+++ b/runtime/src/test/kotlin/org/sapphirelever/runtime/supervision/SupervisorTest.kt
@@ -99,6 +99,28 @@
         }
     }
 
+    /** Guards against a process that lives on after its memory ran out in some of its tasks. */
+    @Test
+    fun `exhausted memory ends every supervisor at once`() {
+        val failures = listOf(OutOfMemoryError(), IllegalStateException(OutOfMemoryError()))
+        for (failure in failures) {
+            runTest {
+                var starts = 0
+                val tree =
+                    supervisor("root", RestartPolicy(), clock()) {
+                        supervisor("nested", RestartPolicy()) {
+                            child("a") {
+                                starts++
+                                throw failure
+                            }
+                        }
+                    }
+                assertFailsWith<SupervisorFailedException> { tree.run() }
+                assertEquals(1, starts, "$failure")
+            }
+        }
+    }
+
     @Test
     fun `restarts outside the window are not counted`() = runTest {
         var starts = 0
