Bound what a forwarding host holds for its callers

Cause: Ktor's channels read and wrote ahead up to 1 MB for each connection; heads and small messages were not counted; neither the connections nor the fields had a bound; a failed accept ended the listener; heads were decoded as UTF-8 by a parser with a fixed limit of the line.

Change: SocketStream reads and writes the socket directly, so that TCP holds a caller back; HeadReader bounds lines, bytes and fields, keeps bytes as they are and counts from the first one; CallerRegistry bounds the connections of each address and closes those that hold most and progress least (callersToClose, pure); bodies and readers must make progress over a span; readiness and metrics keep nothing of a request and have connections of their own. A body that stalls gets 408 instead of 413. A carriage return within a line is no line end now.

--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
@@ -22,6 +22,7 @@
  * @property retryBudgetExtra retries that all hosts may make in one window beyond that share
  * @property retryBudgetWindow length of the window of the retry budget
  * @property minimumLeaseTtl shortest lease duration that the store grants
+ * @property descriptors descriptors that the process may open; null if only its own limit counts
  * @property capacityPercent capacity in percent of a host that can make all calls of a service
  */
 public data class HostProfile(
@@ -38,7 +39,8 @@
     public val retryBudgetExtra: Int,
     public val retryBudgetWindow: Duration,
     public val minimumLeaseTtl: Duration,
-    public val capacityPercent: Int
+    public val capacityPercent: Int,
+    public val descriptors: Int? = null
 ) {
     /** Announcement of this host to the others. */
     public val announcement: HostAnnouncement get() = HostAnnouncement(peers, capacityPercent)
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerConnections.kt
@@ -16,16 +16,19 @@
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.core.SapphireleverException
 import org.sapphirelever.core.forwarding.CallerLimits
+import org.sapphirelever.decisions.admission.CallerPhase
 import org.sapphirelever.runtime.host.GracefulShutdown
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.transport.CONTINUE
+import org.sapphirelever.runtime.transport.Caller
 import org.sapphirelever.runtime.transport.Framing
+import org.sapphirelever.runtime.transport.HeadLimits
 import org.sapphirelever.runtime.transport.HttpConnection
-import org.sapphirelever.runtime.transport.MemoryClaim
 import org.sapphirelever.runtime.transport.MemoryExhaustedException
 import org.sapphirelever.runtime.transport.MessageBody
 import org.sapphirelever.runtime.transport.OversizedMessageException
-import org.sapphirelever.runtime.transport.RequestHead
+import org.sapphirelever.runtime.transport.ProgressingBody
+import org.sapphirelever.runtime.transport.StalledPeerException
 import org.sapphirelever.runtime.transport.TornMessageException
 import org.sapphirelever.runtime.transport.readWhole
 import org.sapphirelever.runtime.transport.requestFraming
@@ -40,54 +43,67 @@
     private val limits: CallerLimits
         get() = state.configuration.value.table?.configuration?.limits ?: DEFAULT_LIMITS
 
-    /** Serves [connection] until it closes. */
-    public suspend fun serve(connection: HttpConnection) {
+    /** Serves [caller] until its connection closes. */
+    public suspend fun serve(caller: Caller) {
+        val connection = caller.connection
         while (true) {
+            caller.enter(CallerPhase.IDLE)
             val hasRequest = withTimeoutOrNull(limits.idleTimeout) { connection.awaitMessage() }
             if (hasRequest != true) return
-            val head =
+            caller.enter(CallerPhase.RECEIVING)
+            val request =
                 try {
-                    withTimeoutOrNull(limits.headerTimeout) { connection.receiveRequest() }
-                } catch (torn: TornMessageException) {
-                    return reject(connection, BAD_REQUEST, torn.message.orEmpty())
-                } catch (oversized: OversizedMessageException) {
-                    return reject(connection, HEADER_TOO_LARGE, oversized.message.orEmpty())
-                } ?: return reject(connection, REQUEST_TIMEOUT, "header incomplete at timeout")
-            if (!serve(connection, head)) return
+                    withTimeoutOrNull(limits.headerTimeout) { receiveHead(caller) }
+                        ?: throw StalledPeerException(limits.headerTimeout)
+                } catch (refused: IOException) {
+                    return reject(caller, refused)
+                } catch (invalid: IllegalArgumentException) {
+                    return reject(caller, BAD_REQUEST, invalid.message.orEmpty())
+                }
+            if (!serve(caller, request)) return
+            caller.keep(0, share = 1.0)
         }
     }
 
+    /** Receives a head and decodes it. */
+    private suspend fun receiveHead(caller: Caller): ReceivedHead {
+        var bytes = 0L
+        val head =
+            caller.connection.receiveRequest(HeadLimits.ofRequests(limits.headerBytes)) {
+                bytes = it
+                caller.noteProgress()
+                caller.keep(it, RequestForwarding.COMMON_MEMORY_SHARE)
+            } ?: throw TornMessageException("connection closed within the header")
+        return ReceivedHead(protocol.decode(head), bytes)
+    }
+
     /** Serves one request; false if the connection is to be closed. */
-    private suspend fun serve(connection: HttpConnection, head: RequestHead): Boolean {
+    private suspend fun serve(caller: Caller, received: ReceivedHead): Boolean {
         val arrivedAt = state.clock.now()
-        if (head.headers.fields.sumOf { it.name.length + it.value.length } > limits.headerBytes) {
-            reject(connection, HEADER_TOO_LARGE, "header too large")
-            return false
-        }
-        val request =
+        val request = received.request
+        val body =
             try {
-                protocol.decode(head)
-            } catch (invalid: IllegalArgumentException) {
-                reject(connection, BAD_REQUEST, invalid.message.orEmpty())
+                receiveBody(caller, received)
+            } catch (refused: IOException) {
+                reject(caller, refused, request.id)
                 return false
             }
-        return state.memory.claim(forwarding.memoryShare(request)).use { memory ->
-            val body = receiveBody(connection, request, memory) ?: return@use false
-            respond(connection, request, body, arrivedAt)
-        }
+        caller.enter(CallerPhase.RUNNING)
+        return respond(caller, request, body, arrivedAt)
     }
 
     /** Responds to a complete request; false if the connection is to be closed. */
     private suspend fun respond(
-        connection: HttpConnection,
+        caller: Caller,
         request: CallerRequest,
         body: MessageBody,
         arrivedAt: MonotonicTime
     ): Boolean {
+        val connection = caller.connection
         val head = request.head
         val keepAlive = !head.headers.hasToken("Connection", "close")
         val response =
-            CallerResponse(connection, head.method == "HEAD") {
+            CallerResponse(caller, head.method == "HEAD") {
                 keepAlive && shutdown.announcesReady
             }
         try {
@@ -121,44 +137,26 @@
     }
 
     /**
-     * Receives the body of [request], whose bytes [memory] holds. Returns null if the request was
-     * rejected; one that does not fit into the memory is refused before its body is read.
+     * Receives the body of a request and keeps its bytes. A body without room is refused before it
+     * is read.
      */
-    private suspend fun receiveBody(
-        connection: HttpConnection,
-        request: CallerRequest,
-        memory: MemoryClaim
-    ): MessageBody? {
-        try {
-            readBody(connection, request.head, memory)?.let { return it }
-            reject(connection, BODY_TOO_LARGE, "body too large")
-        } catch (torn: TornMessageException) {
-            reject(connection, BAD_REQUEST, torn.message.orEmpty())
-        } catch (exhausted: MemoryExhaustedException) {
-            val retryAfter = MEMORY_RETRY_AFTER
-            val cause = exhausted.message.orEmpty()
-            reject(connection, SERVICE_UNAVAILABLE, cause, request.id, retryAfter)
-            metrics.recordFinished(ForwardOutcome(SERVICE_UNAVAILABLE, MEMORY_EXHAUSTED), ZERO)
-        }
-        return null
-    }
-
-    /** The body, or null if it is larger than permitted or does not arrive in time. */
-    private suspend fun readBody(
-        connection: HttpConnection,
-        head: RequestHead,
-        memory: MemoryClaim
-    ): MessageBody? {
-        val framing = head.headers.requestFraming()
+    private suspend fun receiveBody(caller: Caller, received: ReceivedHead): MessageBody {
+        val request = received.request
+        val share = forwarding.memoryShare(request)
+        val framing = request.head.headers.requestFraming()
         if (framing == Framing.Empty) return MessageBody.EMPTY
         if (framing is Framing.Length) {
-            if (framing.bytes > limits.bodyBytes) return null
-            memory.resize(framing.bytes)
+            if (framing.bytes > limits.bodyBytes) throw OversizedBodyException()
+            caller.keep(received.bytes + framing.bytes, share)
         }
-        if (head.headers.hasToken("Expect", "100-continue")) connection.write(CONTINUE)
-        return withTimeoutOrNull(limits.idleTimeout) {
-            connection.body(framing).readWhole(limits.bodyBytes, memory)
+        if (request.head.headers.hasToken("Expect", "100-continue")) {
+            caller.connection.write(CONTINUE)
         }
+        val body = ProgressingBody(caller, caller.connection.body(framing), limits.idleTimeout)
+        return body.readWhole(limits.bodyBytes) { occupied ->
+            val bytes = received.bytes + occupied
+            if (bytes > caller.hold.bytes) caller.keep(bytes, share)
+        } ?: throw OversizedBodyException()
     }
 
     /** Runs [action]; cancels it and returns null if the caller closes [connection] meanwhile. */
@@ -200,12 +198,40 @@
         }
     }
 
+    /** Rejects a request that has not run, because of [cause]. */
+    private suspend fun reject(caller: Caller, cause: IOException, request: String? = null) {
+        val text = cause.message.orEmpty()
+        when (cause) {
+            is OversizedBodyException -> {
+                caller.counts.oversized.incrementAndGet()
+                reject(caller, BODY_TOO_LARGE, text, request)
+            }
+
+            is OversizedMessageException -> {
+                caller.counts.oversized.incrementAndGet()
+                reject(caller, HEADER_TOO_LARGE, text, request)
+            }
+
+            is StalledPeerException -> {
+                caller.counts.stalled.incrementAndGet()
+                reject(caller, REQUEST_TIMEOUT, text, request)
+            }
+
+            is MemoryExhaustedException -> {
+                metrics.recordFinished(ForwardOutcome(SERVICE_UNAVAILABLE, MEMORY_EXHAUSTED), ZERO)
+                reject(caller, SERVICE_UNAVAILABLE, text, request, MEMORY_RETRY_AFTER)
+            }
+
+            else -> reject(caller, BAD_REQUEST, text, request)
+        }
+    }
+
     /**
      * Rejects a request that is invalid, oversized, incomplete or without room. Its connection is
      * closed then; what the caller is still sending is read, so that it receives the response.
      */
     private suspend fun reject(
-        connection: HttpConnection,
+        caller: Caller,
         status: Int,
         cause: String,
         request: String? = null,
@@ -216,11 +242,17 @@
             "status" to status
             "cause" to cause
         }
-        CallerResponse(connection, omitsBody = false) { false }
+        caller.keep(0, share = 1.0)
+        CallerResponse(caller, omitsBody = false) { false }
             .send(protocol.refusal(request, status, retryAfter), MessageBody.EMPTY)
-        withTimeoutOrNull(limits.headerTimeout) { connection.finish(limits.headerTimeout) }
+        withTimeoutOrNull(limits.headerTimeout) { caller.connection.finish(limits.headerTimeout) }
     }
 
+    /** A decoded head, for which [bytes] are kept. */
+    private class ReceivedHead(val request: CallerRequest, val bytes: Long)
+
+    private class OversizedBodyException : IOException("body too large")
+
     /** The caller closed its connection before the response was complete. */
     private class CallerLeftException : IOException("caller left")
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerResponse.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CallerResponse.kt
@@ -3,13 +3,15 @@
  */
 package org.sapphirelever.runtime.forward
 
+import org.sapphirelever.decisions.admission.CallerPhase
 import org.sapphirelever.runtime.transport.CONNECTION
 import org.sapphirelever.runtime.transport.CONTENT_LENGTH
+import org.sapphirelever.runtime.transport.Caller
 import org.sapphirelever.runtime.transport.Header
-import org.sapphirelever.runtime.transport.HttpConnection
 import org.sapphirelever.runtime.transport.LAST_CHUNK
 import org.sapphirelever.runtime.transport.MessageBody
 import org.sapphirelever.runtime.transport.ResponseHead
+import org.sapphirelever.runtime.transport.StalledPeerException
 import org.sapphirelever.runtime.transport.TRANSFER_ENCODING
 import org.sapphirelever.runtime.transport.chunkOf
 import org.sapphirelever.runtime.transport.encoded
@@ -19,7 +21,7 @@
  * started to shut down while the request ran. With [omitsBody] only the head is written (HEAD).
  */
 public class CallerResponse(
-    private val connection: HttpConnection,
+    private val caller: Caller,
     private val omitsBody: Boolean,
     private val keepAlive: () -> Boolean
 ) {
@@ -46,7 +48,7 @@
         val framed = framed(head, Header(CONTENT_LENGTH, body.size.toString()))
         hasStarted = true
         val blocks = if (omitsBody) emptyList() else body.blocks
-        connection.write(framed.encoded(), blocks)
+        write(framed.encoded(), blocks)
         isComplete = true
     }
 
@@ -55,22 +57,35 @@
         val framed = framed(head, Header(TRANSFER_ENCODING, "chunked"))
         hasStarted = true
         writtenBytes += part.size
-        connection.write(framed.encoded(), if (part.isEmpty()) part else chunkOf(part))
+        write(if (part.isEmpty()) framed.encoded() else framed.encoded() + chunkOf(part))
     }
 
     /** Writes [part] as the next chunk, unless it is empty: an empty chunk would end the body. */
     public suspend fun sendChunk(part: ByteArray) {
         if (part.isEmpty()) return
         writtenBytes += part.size
-        connection.write(chunkOf(part))
+        write(chunkOf(part))
     }
 
     /** Writes the last chunk. Without it the caller detects that the response is truncated. */
     public suspend fun endStream() {
-        connection.write(LAST_CHUNK)
+        write(LAST_CHUNK)
         isComplete = true
     }
 
+    /** A caller that does not take the bytes may be closed if the host needs the room. */
+    private suspend fun write(head: ByteArray, blocks: List<ByteArray> = emptyList()) {
+        caller.enter(CallerPhase.SENDING)
+        try {
+            caller.connection.write(head, blocks) { caller.noteProgress() }
+        } catch (stalled: StalledPeerException) {
+            caller.counts.stalled.incrementAndGet()
+            throw stalled
+        } finally {
+            caller.enter(CallerPhase.RUNNING)
+        }
+    }
+
     private fun framed(head: ResponseHead, framing: Header): ResponseHead {
         saysKeepAlive = keepAlive()
         val fields = head.headers + framing
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -4,7 +4,6 @@
 package org.sapphirelever.runtime.forward
 
 import kotlin.time.Duration.Companion.minutes
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
@@ -14,7 +13,6 @@
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
-import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.ExitCode
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.ServiceName
@@ -31,11 +29,6 @@
 import org.sapphirelever.runtime.peer.PeerConnection
 import org.sapphirelever.runtime.supervision.SupervisorFailedException
 import org.sapphirelever.runtime.supervision.supervisor
-import org.sapphirelever.runtime.transport.Header
-import org.sapphirelever.runtime.transport.Headers
-import org.sapphirelever.runtime.transport.HttpConnection
-import org.sapphirelever.runtime.transport.MessageBody
-import org.sapphirelever.runtime.transport.ResponseHead
 import org.sapphirelever.runtime.transport.Sockets
 
 /**
@@ -56,6 +49,7 @@
     private val shutdown =
         GracefulShutdown(ShutdownTimes.within(profile.shutdownGracePeriod), clock, emptyList())
     private val metrics = ForwardingMetrics(state)
+    private val texts = TextServer(sockets, state)
 
     /** Starts a graceful shutdown and withdraws the announcement of this host. */
     public fun signal() {
@@ -102,8 +96,8 @@
         }
         child("settings") { settings.follow() }
         child("callers") { serveCallers() }
-        child("readiness") { serveText(profile.readiness) { readiness() to status() } }
-        child("metrics") { serveText(profile.metrics) { OK to metrics.scrape() } }
+        child("readiness") { texts.serve(profile.readiness) { readiness() to status() } }
+        child("metrics") { texts.serve(profile.metrics) { OK to metrics.scrape() } }
     }
 
     private suspend fun serveCallers(): Unit = coroutineScope {
@@ -123,8 +117,8 @@
             RequestForwarding(protocol, state, calls, stages, executor, guard, shutdown)
         val server = PieceServer(localExecutor, state)
         launch {
-            sockets.listen(profile.peers).use {
-                it.runSockets { socket ->
+            sockets.listenSockets(profile.peers).use {
+                it.run { socket ->
                     PeerConnection(socket).use { peer -> server.serve(peer) }
                 }
             }
@@ -132,7 +126,7 @@
         val connections =
             CallerConnections(protocol, state, forwarding, shutdown, metrics)
         try {
-            sockets.listen(profile.callers).use { it.run(connections::serve) }
+            sockets.listen(profile.callers, state.callers).use { it.run(connections::serve) }
         } finally {
             workScope.cancel()
         }
@@ -160,27 +154,6 @@
     /** What this host believes of the store and of its targets, for operators. */
     private fun status(): ByteArray = hostStatus(state).toByteArray()
 
-    /** Serves the status and body of [answer] on [endpoint], whatever path is requested. */
-    private suspend fun serveText(endpoint: Endpoint, answer: () -> Pair<Int, ByteArray>) {
-        sockets.listen(endpoint).use { listener ->
-            listener.run { connection -> serveText(connection, answer) }
-        }
-    }
-
-    private suspend fun serveText(connection: HttpConnection, answer: () -> Pair<Int, ByteArray>) {
-        while (true) {
-            val request = connection.receiveRequest() ?: return
-            val keepAlive = !request.headers.hasToken("Connection", "close")
-            val (status, body) = answer()
-            val type = Header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-            val head = ResponseHead(status, "Answer", Headers(persistentListOf(type)))
-            CallerResponse(connection, omitsBody = false) {
-                keepAlive
-            }.send(head, MessageBody.of(body))
-            if (!keepAlive) return
-        }
-    }
-
     private companion object {
         const val OK = 200
         const val UNAVAILABLE = 503
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
@@ -12,6 +12,7 @@
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
+import org.sapphirelever.runtime.transport.CallerRegistry
 
 /** Metrics in a registry of their own, so that hosts in one process do not share counts. */
 public class ForwardingMetrics(state: ForwardingState) {
@@ -57,6 +58,26 @@
         gauge("sapphirelever_message_memory_held_bytes", "Memory that messages hold") {
             state.memory.heldBytes.toDouble()
         }
+        callers(state.callers)
+    }
+
+    private fun callers(registry: CallerRegistry) {
+        gauge("sapphirelever_caller_connections", "Connections of callers") {
+            registry.size.toDouble()
+        }
+        val counts = registry.counts
+        count("sapphirelever_callers_refused_total", "Connections closed when none had room") {
+            counts.refused.get()
+        }
+        count("sapphirelever_callers_evicted_total", "Connections closed to make room") {
+            counts.evicted.get()
+        }
+        count("sapphirelever_callers_stalled_total", "Senders and readers without progress") {
+            counts.stalled.get()
+        }
+        count("sapphirelever_callers_oversized_total", "Requests beyond a limit of size") {
+            counts.oversized.get()
+        }
     }
 
     /** Records the end of a request; [outcome] is null if its caller closed the connection. */
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -33,7 +33,9 @@
 import org.sapphirelever.runtime.StateCell
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.runtime.transport.CallerRegistry
 import org.sapphirelever.runtime.transport.MessageMemory
+import org.sapphirelever.runtime.transport.callerConnections
 
 /** Shared state of a forwarding host that starts with the settings [initial]. */
 public class ForwardingState(initial: HostProfile, public val clock: MonotonicClock) {
@@ -44,6 +46,10 @@
     /** Memory for the messages of callers and targets. */
     public val memory: MessageMemory = MessageMemory()
 
+    /** The connections of callers. */
+    public val callers: CallerRegistry =
+        CallerRegistry(callerConnections(initial.descriptors), memory, clock)
+
     /** The adopted configuration and the time at which the store last confirmed it. */
     public val configuration: StateCell<CachedConfiguration> = StateCell(CachedConfiguration())
     public val directory: StateCell<TargetDirectory> = StateCell(TargetDirectory())
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestForwarding.kt
@@ -157,14 +157,14 @@
             RequestTrait.ofRequest(fingerprint)
     }
 
-    private companion object {
-        const val NOT_FOUND = 404
-        const val UNAUTHORIZED = 401
+    internal companion object {
+        private const val NOT_FOUND = 404
+        private const val UNAUTHORIZED = 401
 
         /** The rest of the memory is for requests of the most urgent rank. */
         const val COMMON_MEMORY_SHARE = 0.8
 
         /** Callers retry on a new connection, which may reach a host that is ready. */
-        val NOT_READY_RETRY_AFTER = 200.milliseconds
+        private val NOT_READY_RETRY_AFTER = 200.milliseconds
     }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/BodyReader.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/BodyReader.kt
@@ -4,13 +4,7 @@
  */
 package org.sapphirelever.runtime.transport
 
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readAvailable
 import java.io.ByteArrayOutputStream
-import java.io.IOException
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.ensureActive
 
 /** Reads the parts of one body in order. */
 public interface BodyReader {
@@ -34,33 +28,26 @@
     return collected.toByteArray()
 }
 
-internal fun bodyReader(input: ByteReadChannel, framing: Framing): BodyReader = when (framing) {
+internal fun bodyReader(input: InputBuffer, framing: Framing): BodyReader = when (framing) {
     Framing.Empty -> FixedLengthBody(input, 0)
     is Framing.Length -> FixedLengthBody(input, framing.bytes)
     Framing.Chunked -> ChunkedBody(input)
     Framing.UntilClose -> CloseDelimitedBody(input)
 }
 
-private class FixedLengthBody(private val input: ByteReadChannel, private var remaining: Long) :
+private class FixedLengthBody(private val input: InputBuffer, private var remaining: Long) :
     BodyReader {
     override suspend fun next(): ByteArray? {
         if (remaining == 0L) return null
         val part =
             input.readPart(minOf(remaining, MAXIMUM_PART_BYTES.toLong()).toInt())
-                ?: throw TornMessageException(
-                    "body ended $remaining bytes early",
-                    input.closedCause
-                )
+                ?: throw TornMessageException("body ended $remaining bytes early")
         remaining -= part.size
         return part
     }
 }
 
-/**
- * Decodes chunks itself, because Ktor's decoder accepts the end of the connection as the end of the
- * body.
- */
-private class ChunkedBody(private val input: ByteReadChannel) : BodyReader {
+private class ChunkedBody(private val input: InputBuffer) : BodyReader {
     private var remaining = 0L
     private var isFinished = false
 
@@ -74,10 +61,7 @@
         }
         val part =
             input.readPart(minOf(remaining, MAXIMUM_PART_BYTES.toLong()).toInt())
-                ?: throw TornMessageException(
-                    "chunk ended $remaining bytes early",
-                    input.closedCause
-                )
+                ?: throw TornMessageException("chunk ended $remaining bytes early")
         remaining -= part.size
         if (remaining == 0L && readLine().isNotEmpty()) throw TornMessageException("chunk too long")
         return part
@@ -102,8 +86,9 @@
         }
     }
 
-    private suspend fun readLine(): String = input.readBoundedLine("line of a chunked body")
-        ?: throw TornMessageException("body ended before its last chunk")
+    private suspend fun readLine(): String =
+        input.readLine(MAXIMUM_LINE_BYTES, "line of a chunked body")
+            ?: throw TornMessageException("body ended before its last chunk")
 
     private fun Char.isHexadecimal(): Boolean =
         this in '0'..'9' || this in 'a'..'f' || this in 'A'..'F'
@@ -116,30 +101,9 @@
 }
 
 /** A body that ends when the peer closes the connection. */
-private class CloseDelimitedBody(private val input: ByteReadChannel) : BodyReader {
-    override suspend fun next(): ByteArray? =
-        input.readPart(MAXIMUM_PART_BYTES) ?: input.endOfBodyOrThrow()
-}
-
-private fun ByteReadChannel.endOfBodyOrThrow(): ByteArray? {
-    closedCause?.let { throw TornMessageException("connection failed within a body", it) }
-    return null
-}
-
-/** Reads up to [limit] bytes; null at the end of the channel. */
-private suspend fun ByteReadChannel.readPart(limit: Int): ByteArray? {
-    val buffer = ByteArray(limit)
-    val count =
-        try {
-            readAvailable(buffer, 0, limit)
-        } catch (cancelled: CancellationException) {
-            currentCoroutineContext().ensureActive()
-            throw TornMessageException("connection failed within a body", cancelled)
-        } catch (failure: IOException) {
-            throw TornMessageException("connection failed within a body", failure)
-        }
-    return if (count <= 0) null else buffer.copyOf(count)
+private class CloseDelimitedBody(private val input: InputBuffer) : BodyReader {
+    override suspend fun next(): ByteArray? = input.readPart(MAXIMUM_PART_BYTES)
 }
 
-/** A part is at most one segment of Ktor's buffers. */
+/** A part is at most one buffer of the connection. */
 private const val MAXIMUM_PART_BYTES = 8_192
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
@@ -1,53 +1,57 @@
 /*
- * HTTP/1.1 messages over one socket. Ktor parses the heads; this package adds strict framing, so
- * that a truncated message is never accepted as complete.
+ * HTTP/1.1 messages over one socket, with strict framing, so that a truncated message is never
+ * accepted as complete.
  */
 package org.sapphirelever.runtime.transport
 
-import io.ktor.http.cio.HttpHeadersMap
-import io.ktor.http.cio.parseRequest
-import io.ktor.http.cio.parseResponse
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.utils.io.ByteChannel
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.availableForRead
-import io.ktor.utils.io.discard
-import io.ktor.utils.io.writeByteArray
 import java.io.Closeable
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** An HTTP/1.1 connection. At most one task reads and one task writes at a time. */
-public class HttpConnection(private val socket: Socket) : Closeable {
-    private val input = socket.openReadChannel()
-    private val output = ByteChannel(autoFlush = false)
+/** A peer sent or accepted too little in [span]. */
+public class StalledPeerException(span: Duration) : IOException("too little progress in $span")
 
-    /** Passes the bytes of [output] to the kernel. */
-    private val sender = socket.attachForWriting(output)
+/**
+ * An HTTP/1.1 connection. At most one task reads and one task writes at a time. A write fails with
+ * [StalledPeerException] if the peer accepts nothing for [writeSpan].
+ */
+public class HttpConnection
+internal constructor(
+    private val stream: SocketStream,
+    private val writeSpan: Duration? = null
+) : Closeable {
+    private val input = InputBuffer(stream)
+
+    /** Bytes received since the connection was opened. */
+    public val receivedBytes: Long get() = input.readBytes
+
+    /** Bytes that the peer has accepted since the connection was opened. */
+    @Volatile
+    public var sentBytes: Long = 0
+        private set
 
     /** Whether the peer has neither closed the connection nor sent bytes that are still unread. */
-    public val isIdle: Boolean get() = !input.isClosedForRead && input.availableForRead == 0
+    public val isIdle: Boolean get() = input.isIdle
 
     /** Waits for the first byte of a message; false if the peer closes the connection instead. */
-    public suspend fun awaitMessage(): Boolean = convertExceptions { input.awaitContent() }
+    public suspend fun awaitMessage(): Boolean = convertExceptions { input.awaitByte() }
 
     /**
      * Receives the next request head; null if the peer closed the connection before its end. Throws
-     * [OversizedMessageException] if it is larger than any caller needs.
+     * [OversizedMessageException] if it exceeds [limits]. Passes the memory that the head takes
+     * to [onGrowth], and keeps only the fields [keptFields], in lower case, unless that is null.
      */
-    public suspend fun receiveRequest(): RequestHead? = convertExceptions {
-        input.readHead()?.let { head ->
-            val parsed = parseRequest(ByteReadChannel(head))
-            parsed?.use { RequestHead(it.method.value, it.uri.toString(), headersOf(it.headers)) }
-                ?: throw TornMessageException("invalid request")
-        }
+    public suspend fun receiveRequest(
+        limits: HeadLimits,
+        keptFields: Set<String>? = null,
+        onGrowth: (Long) -> Unit = {}
+    ): RequestHead? = convertExceptions {
+        HeadReader(input, limits, keptFields, onGrowth).read()?.toRequest()
     }
 
     /**
@@ -55,52 +59,60 @@
      * [OversizedMessageException] if it is larger than any target needs.
      */
     public suspend fun receiveResponse(): ResponseHead = convertExceptions {
-        val head =
-            input.readHead() ?: throw TornMessageException("connection closed before a response")
-        val parsed =
-            parseResponse(ByteReadChannel(head)) ?: throw TornMessageException("invalid response")
-        parsed.use { ResponseHead(it.status, it.statusText.toString(), headersOf(it.headers)) }
+        val head = HeadReader(input, HeadLimits.RESPONSE).read()
+        head?.toResponse() ?: throw TornMessageException("connection closed before a response")
     }
 
     public fun body(framing: Framing): BodyReader = bodyReader(input, framing)
 
-    /** Writes and flushes [bytes]. */
-    public suspend fun write(vararg bytes: ByteArray) {
+    /** Writes [bytes]; returns when the kernel has them. */
+    public suspend fun write(bytes: ByteArray, onProgress: () -> Unit = {}) {
         convertExceptions {
-            bytes.forEach { output.writeByteArray(it) }
-            output.flush()
+            stream.write(bytes, ::awaitWritable) {
+                sentBytes += it
+                onProgress()
+            }
         }
     }
 
-    /** Writes and flushes [head] and then the [blocks] of a body one by one. */
-    public suspend fun write(head: ByteArray, blocks: List<ByteArray>) {
-        if (blocks.isEmpty()) return write(head)
-        write(head, blocks.first())
-        // Each block leaves the buffer of the connection before the next one enters it.
-        blocks.drop(1).forEach { write(it) }
+    public suspend fun write(head: ByteArray, body: ByteArray) {
+        write(head, listOf(body))
+    }
+
+    /** Writes [head] and the [blocks] of a body one by one. */
+    public suspend fun write(
+        head: ByteArray,
+        blocks: List<ByteArray>,
+        onProgress: () -> Unit = {}
+    ) {
+        // A short body is sent in one segment with its head.
+        val isShort = blocks.isNotEmpty() && blocks.first().size <= SHORT_BODY_BYTES
+        write(if (isShort) head + blocks.first() else head, onProgress)
+        blocks.drop(if (isShort) 1 else 0).forEach { write(it, onProgress) }
     }
 
     /**
-     * Ends the output, waits until the kernel has all bytes, and then up to [linger] for the peer
-     * to close; what it sends meanwhile is discarded. To close at once would reset the connection
-     * if the peer had sent something, and a reset discards what the peer has not received yet.
+     * Ends the output, and then waits up to [linger] for the peer to close; what it sends
+     * meanwhile is discarded. To close at once would reset the connection if the peer had sent
+     * something, and a reset discards what the peer has not received yet.
      */
     public suspend fun finish(linger: Duration = LINGER_TIME) {
-        convertExceptions { output.flushAndClose() }
-        sender.job.join()
-        withTimeoutOrNull(linger) { input.discard() }
+        convertExceptions {
+            stream.shutdownOutput()
+            withTimeoutOrNull(linger) { input.discard() }
+        }
     }
 
     override fun close() {
-        socket.close()
+        stream.close()
     }
 
-    private companion object {
-        /** Callers close as soon as they have received the last byte. */
-        val LINGER_TIME = 300.milliseconds
+    private suspend fun awaitWritable(wait: suspend () -> Unit) {
+        if (writeSpan == null) return wait()
+        withTimeoutOrNull(writeSpan) { wait() } ?: throw StalledPeerException(writeSpan)
     }
 
-    /** Converts exceptions of the parser and the socket to [IOException]. */
+    /** Converts exceptions of the selector and the socket to [IOException]. */
     private suspend fun <T> convertExceptions(action: suspend () -> T): T = try {
         action()
     } catch (cancelled: CancellationException) {
@@ -109,25 +121,17 @@
         throw TornMessageException("connection lost", cancelled)
     } catch (failure: IOException) {
         throw failure
-    } catch (failure: Exception) {
-        throw TornMessageException("invalid HTTP message", failure)
+    } catch (failure: IllegalStateException) {
+        throw TornMessageException("connection closed", failure)
     }
-}
 
-/** Runs [action], then returns the buffers of the parsed message to their pool. */
-private inline fun <M : io.ktor.http.cio.HttpMessage, T> M.use(action: (M) -> T): T = try {
-    action(this)
-} finally {
-    release()
+    private companion object {
+        /** Callers close as soon as they have received the last byte. */
+        val LINGER_TIME = 300.milliseconds
+        const val SHORT_BODY_BYTES = 65_536
+    }
 }
 
-private fun headersOf(map: HttpHeadersMap): Headers = Headers(
-    map.offsets()
-        .map { Header(map.nameAtOffset(it).toString(), map.valueAtOffset(it).toString()) }
-        .toList()
-        .toPersistentList()
-)
-
 /** Bytes of a request head; it gets a `Content-Length` field unless [bodyBytes] is null. */
 public fun RequestHead.encoded(bodyBytes: Int?): ByteArray = buildString {
     append(method).append(' ').append(target).append(" HTTP/1.1\r\n")
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageBody.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageBody.kt
@@ -59,13 +59,17 @@
  * Reads the complete body, whose bytes [claim] holds; null if it exceeds [limit] bytes. Throws
  * [MemoryExhaustedException] if there is no memory for it.
  */
-public suspend fun BodyReader.readWhole(limit: Int, claim: MemoryClaim): MessageBody? {
+public suspend fun BodyReader.readWhole(limit: Int, claim: MemoryClaim): MessageBody? =
+    readWhole(limit, claim::grow)
+
+/** Reads the complete body and passes the bytes it occupies to [onGrowth]; null beyond [limit]. */
+public suspend fun BodyReader.readWhole(limit: Int, onGrowth: (Long) -> Unit): MessageBody? {
     val collector = MessageBody.Collector()
     while (true) {
         val part = next() ?: return collector.toBody()
         if (collector.size + part.size > limit) return null
         collector.add(part)
-        claim.grow(collector.occupied)
+        onGrowth(collector.occupied)
     }
 }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageMemory.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/MessageMemory.kt
@@ -30,38 +30,51 @@
     }
 }
 
-/** Bytes that are held for one message; [close] returns them. Not thread-safe. */
+/** Bytes that are held for one message; [close] returns them for good. */
 public class MemoryClaim internal constructor(
     private val budget: StateCell<ByteBudget>,
     private val share: Double
 ) : Closeable {
     private var held = 0L
+    private var isClosed = false
 
     /**
-     * Changes the claim to [bytes]; throws [MemoryExhaustedException] if they are not available.
-     * Small messages are not counted, since most are, and the number of requests bounds them.
+     * Changes the claim to [bytes]; throws [MemoryExhaustedException] if they are not available
+     * within [share] of the memory, or if the claim has been closed. Small messages have room of
+     * their own, so that large ones do not keep ordinary requests out.
      */
-    public fun resize(bytes: Long) {
-        val counted = if (bytes <= UNCOUNTED_BYTES) 0 else roundedUp(bytes)
+    @Synchronized
+    public fun resize(bytes: Long, share: Double = this.share) {
+        val counted = roundedUp(bytes)
         if (counted == held) return
-        val isGranted = budget.decide { it.resized(held, counted, share) }.isNotEmpty()
+        if (isClosed) throw MemoryExhaustedException(bytes)
+        val permitted = if (counted <= SMALL_BYTES) SMALL_SHARE else share
+        val isGranted = budget.decide { it.resized(held, counted, permitted) }.isNotEmpty()
         if (!isGranted) throw MemoryExhaustedException(bytes)
         held = counted
     }
 
     /** Like [resize], if the claim has less than [bytes]. */
+    @Synchronized
     public fun grow(bytes: Long) {
         if (bytes > held) resize(bytes)
     }
 
+    @Synchronized
     override fun close() {
-        resize(0)
+        if (!isClosed) resize(0)
+        isClosed = true
     }
 
     private fun roundedUp(bytes: Long): Long = (bytes + STEP_BYTES - 1) / STEP_BYTES * STEP_BYTES
 
     private companion object {
-        const val UNCOUNTED_BYTES = 16_384L
-        const val STEP_BYTES = 65_536L
+        const val STEP_BYTES = 4_096L
+
+        /** A message that is small; most are. */
+        const val SMALL_BYTES = 16_384L
+
+        /** Share of the memory up to which small messages find room. */
+        const val SMALL_SHARE = 1.25
     }
 }
