Serve the entry host over the bounded transport

Ktor's server bounded neither connections nor fields of a head, and read and wrote ahead up to 1 MB. The front end now reads complete requests by the transport of the forwarding host, within FrontEndLimits, and passes them to Ktor's routing by an engine without a server of its own. Limits met by callers are counted in sapphirelever_callers_*_total.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/EntryHost.kt
@@ -32,6 +32,7 @@
 import org.sapphirelever.runtime.dispatch.LeavingReports
 import org.sapphirelever.runtime.dispatch.QueueingDispatcher
 import org.sapphirelever.runtime.feed.ConfigurationWriter
+import org.sapphirelever.runtime.http.FrontEndLimits
 import org.sapphirelever.runtime.http.HttpFrontEnd
 import org.sapphirelever.runtime.http.Routes
 import org.sapphirelever.runtime.http.healthRoutes
@@ -115,10 +116,12 @@
             clock,
             stopSteps + departureSteps()
         )
+    private val frontEndLimits = FrontEndLimits(bodyBytes = settings.bodyLimit)
     private val metrics =
         PrometheusMetrics(
             revision = { configuration.value.inForce.revision.value },
-            outstanding = { shutdown.outstanding }
+            outstanding = { shutdown.outstanding },
+            callers = frontEndLimits.counts
         )
     private val runner =
         ConfiguredRunner(
@@ -205,7 +208,7 @@
             child("controller") { controller.run() }
         }
         supervisor("front-end", RestartPolicy(Strategy.ONE_FOR_ONE)) {
-            child("http") { HttpFrontEnd(settings.http, routes()).run() }
+            child("http") { HttpFrontEnd(settings.http, routes(), frontEndLimits, clock).run() }
         }
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/http/HttpFrontEnd.kt
@@ -1,6 +1,6 @@
 /*
  * HTTP front end of an entry host: requests of callers, the resource API, health and metrics.
- * Each request runs in the coroutine of its call.
+ * Each request runs in the task of its connection.
  */
 package org.sapphirelever.runtime.http
 
@@ -8,8 +8,6 @@
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.cio.CIO
-import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.path
@@ -20,14 +18,18 @@
 import io.ktor.server.routing.routing
 import io.ktor.utils.io.readRemaining
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.io.readByteArray
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import org.sapphirelever.core.Endpoint
 import org.sapphirelever.core.ErrorCode
+import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.SapphireleverException
+import org.sapphirelever.core.SystemMonotonicClock
 import org.sapphirelever.runtime.log.logWarning
+import org.sapphirelever.runtime.transport.CallerRegistry
+import org.sapphirelever.runtime.transport.MessageMemory
+import org.sapphirelever.runtime.transport.Sockets
 import org.sapphirelever.wire.ErrorMessage
 import org.sapphirelever.wire.FindingMessage
 import org.sapphirelever.wire.MessageJson
@@ -37,30 +39,37 @@
     public fun Routing.install()
 }
 
-/** Serves [routes] at [endpoint] until cancelled; passes the bound address to [onBound]. */
+/**
+ * Serves [routes] at [endpoint] until cancelled, within [limits]; passes the bound address to
+ * [onBound]. A request is read completely before it is routed.
+ */
 public class HttpFrontEnd(
     private val endpoint: Endpoint,
     private val routes: List<Routes>,
+    private val limits: FrontEndLimits = FrontEndLimits(),
+    private val clock: MonotonicClock = SystemMonotonicClock,
     private val onBound: (Endpoint) -> Unit = {}
 ) {
     public suspend fun run() {
-        val server: EmbeddedServer<*, *> =
-            embeddedServer(CIO, port = endpoint.port, host = endpoint.address) {
+        val server =
+            embeddedServer(PipelineEngine, host = endpoint.address, port = endpoint.port) {
                 routing { routes.forEach { with(it) { install() } } }
             }
         server.startSuspend(wait = false)
         try {
-            onBound(endpoint.copy(port = server.engine.resolvedConnectors().first().port))
-            awaitCancellation()
+            Sockets().use { serve(it, server.engine) }
         } finally {
-            server.stop(STOP_GRACE_MILLIS, STOP_TIMEOUT_MILLIS)
+            server.stop(0, 0)
         }
     }
 
-    private companion object {
-        /** The last responses may still be in the send buffers of their connections. */
-        const val STOP_GRACE_MILLIS = 300L
-        const val STOP_TIMEOUT_MILLIS = 800L
+    private suspend fun serve(sockets: Sockets, engine: PipelineEngine) {
+        val registry = CallerRegistry(limits.connections, MessageMemory(), clock, limits.counts)
+        sockets.listen(endpoint, registry).use { listener ->
+            val bound = endpoint.copy(port = listener.port)
+            onBound(bound)
+            listener.run { FrontEndConnection(it, bound, limits, engine).serve() }
+        }
     }
 }
 
@@ -112,10 +121,12 @@
 
 /** Outcome that a request error with [code] reports to its caller; null for other calls. */
 private fun ApplicationCall.requestOutcome(code: ErrorCode): String? {
-    if (request.httpMethod != HttpMethod.Post || request.path() != "/v1/requests") return null
+    if (request.httpMethod != HttpMethod.Post || request.path() != REQUESTS_PATH) return null
     return outcomeOf(code)
 }
 
+internal const val REQUESTS_PATH: String = "/v1/requests"
+
 /** `not-run` only for the codes that prove it; any other error may follow a stage that ran. */
 internal fun outcomeOf(code: ErrorCode): String =
     if (code in BEFORE_ANY_STAGE) "not-run" else "outcome-unknown"
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/metrics/PrometheusMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/metrics/PrometheusMetrics.kt
@@ -7,6 +7,7 @@
 import io.ktor.server.response.respondBytes
 import io.ktor.server.routing.get
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -18,11 +19,13 @@
 import org.sapphirelever.core.PipelineName
 import org.sapphirelever.core.StageName
 import org.sapphirelever.runtime.http.Routes
+import org.sapphirelever.runtime.transport.CallerCounts
 
 /** Records metrics in its own registry, so that several hosts can share a process in tests. */
 public class PrometheusMetrics(
     revision: () -> Long,
     outstanding: () -> Int,
+    callers: CallerCounts = CallerCounts(),
     private val registry: PrometheusRegistry = PrometheusRegistry()
 ) : RequestMetrics {
     private val requests =
@@ -43,6 +46,10 @@
     init {
         gauge("configuration_revision", "Revision in force on this host") { revision().toDouble() }
         gauge("outstanding_calls", "Calls without an answer yet") { outstanding().toDouble() }
+        callersCounter("refused", "Connections closed when none had room") { callers.refused.get() }
+        callersCounter("evicted", "Connections closed to make room") { callers.evicted.get() }
+        callersCounter("stalled", "Senders and readers without progress") { callers.stalled.get() }
+        callersCounter("oversized", "Requests beyond a limit of size") { callers.oversized.get() }
         JvmMetrics.builder().register(registry)
     }
 
@@ -91,6 +98,15 @@
         dropped.labelValues(pipeline.value, stage.value).inc(count.toLong())
     }
 
+    private fun callersCounter(name: String, help: String, read: () -> Long) {
+        CounterWithCallback
+            .builder()
+            .name("${PREFIX}callers_${name}_total")
+            .help(help)
+            .callback { it.call(read().toDouble()) }
+            .register(registry)
+    }
+
     private fun stageCounter(name: String, help: String): Counter =
         counter(name, help, "pipeline", "stage")
 
