--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
@@ -30,6 +30,7 @@
  * @property retryBudgetExtra retries that all hosts may make in one window beyond that share
  * @property retryBudgetWindow length of the window of the retry budget
  * @property minimumLeaseTtl shortest lease duration that the store grants
+ * @property descriptors descriptors that the process may open; null if only its own limit counts
  * @property capacityPercent capacity in percent of a host that can make all calls of a service
  * @property coldTolerance requests that a cold target bears beyond its rate
  */
@@ -49,7 +50,8 @@
     public val retryBudgetWindow: Duration,
     public val minimumLeaseTtl: Duration,
     public val capacityPercent: Int,
-    public val coldTolerance: ColdTolerance = ColdTolerance()
+    public val coldTolerance: ColdTolerance = ColdTolerance(),
+    public val descriptors: Int? = null
 ) {
     /** Announcement of this host to the others. */
     public val announcement: HostAnnouncement get() = HostAnnouncement(peers, capacityPercent)
