Announce the data centre of a forwarding host

Hosts that read the store for their data centre have to know who is in it. The announcement names it as a third word.

--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/HostProfile.kt
@@ -41,7 +41,8 @@
     public val capacityPercent: Int
 ) {
     /** Announcement of this host to the others. */
-    public val announcement: HostAnnouncement get() = HostAnnouncement(peers, capacityPercent)
+    public val announcement: HostAnnouncement
+        get() = HostAnnouncement(peers, capacityPercent, dataCentre)
 
     /** This profile with those settings of [other] that take effect without a restart. */
     public fun withBoundsOf(other: HostProfile): HostProfile = copy(
