Decide which host of a data centre reads the store

Each host has a watch of its own at the store, so that calls grow with the number of hosts. The order of readers, the host that is followed, what a log of the store's answers can tell a follower, and the age of a relayed confirmation are pure decisions with tables of cases.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/CachedConfiguration.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/CachedConfiguration.kt
@@ -16,6 +16,10 @@
     /** Time since [earlier] by the clock that shows more, so that no suspension is missed. */
     public fun since(earlier: ClockReading): Duration =
         maxOf(monotonic - earlier.monotonic, (wallMillis - earlier.wallMillis).milliseconds)
+
+    /** This reading [duration] later, or earlier if it is negative. */
+    public fun plus(duration: Duration): ClockReading =
+        ClockReading(monotonic + duration, wallMillis + duration.inWholeMilliseconds)
 }
 
 /** The adopted configuration and the time at which the store last confirmed it. */
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageAssignment.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StageAssignment.kt
@@ -16,10 +16,13 @@
 public fun assignmentOrder(
     service: ServiceName,
     hosts: Map<HostId, HostAnnouncement>
-): List<HostId> = hosts.entries
+): List<HostId> = hosts.inOrder(service.value)
+
+/** The hosts by capacity and then by their rendezvous rank for [purpose]. */
+internal fun Map<HostId, HostAnnouncement>.inOrder(purpose: String): List<HostId> = entries
     .sortedWith(
         compareByDescending<Map.Entry<HostId, HostAnnouncement>> { it.value.capacityPercent }
-            .thenByDescending { rendezvousRank(service.value, it.key.value) }
+            .thenByDescending { rendezvousRank(purpose, it.key.value) }
     ).map { it.key }
 
 /**
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreWatch.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreWatch.kt
@@ -16,12 +16,15 @@
  * @property answeredAt time of the answer
  * @property wait time for which the store was asked to wait for a change
  * @property hasChanges whether the answer holds changes
+ * @property relayedAge age at [sentAt] of the confirmation that another host passed on, negative if
+ *   the store confirmed later; null if the store itself answered
  */
 public data class WatchCall(
     public val sentAt: ClockReading,
     public val answeredAt: ClockReading,
     public val wait: Duration,
-    public val hasChanges: Boolean
+    public val hasChanges: Boolean,
+    public val relayedAge: Duration? = null
 ) {
     /**
      * Latest time of which the answer is certain to tell. An answer without changes tells of the
@@ -30,10 +33,10 @@
      */
     public val confirmedAt: ClockReading
         get() {
+            if (relayedAge != null) return sentAt.plus(-maxOf(relayedAge, -took))
             val certain = (wait - UNNOTICED_TIME).coerceAtLeast(Duration.ZERO)
             if (hasChanges || took < wait) return sentAt
-            val wallMillis = sentAt.wallMillis + certain.inWholeMilliseconds
-            return ClockReading(sentAt.monotonic + certain, wallMillis)
+            return sentAt.plus(certain)
         }
 
     /** Time until the answer. */
@@ -60,6 +63,10 @@
      * of other hosts cost one call in each [LONGEST_PAUSE], however many there are.
      */
     public fun after(call: WatchCall): WatchSchedule = when {
+        // The host that relays it limits the calls to the store.
+        call.relayedAge != null ->
+            WatchSchedule(pause = (RELAYED_PERIOD - call.took).coerceAtLeast(Duration.ZERO))
+
         call.hasChanges -> {
             val growing = PAUSE_PER_BUSY_CALL * (busyCalls + 1)
             WatchSchedule(busyCalls + 1, growing.coerceAtMost(LONGEST_PAUSE))
@@ -77,6 +84,9 @@
         /** Leaves time for two calls within the strictest bound of a change, which is 2 s. */
         val LONGEST_PAUSE = 700.milliseconds
 
+        /** Bounds the rate of requests to a peer that answers at once. */
+        val RELAYED_PERIOD = 50.milliseconds
+
         /** Bounds the rate of calls whose wait is short. */
         val SHORTEST_PERIOD = 250.milliseconds
     }
--- /dev/null
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreLogTest.kt
@@ -0,0 +1,128 @@
+/*
+ * Answers of a host that reads the store to those that follow it.
+ */
+package org.sapphirelever.decisions.forwarding
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.sapphirelever.decisions.forwarding.LogAnswer.Known
+import org.sapphirelever.decisions.forwarding.LogAnswer.Refused
+
+class StoreLogTest {
+    private fun call(sentAt: Long, answeredAt: Long, wait: Long = 0, hasChanges: Boolean = false) =
+        WatchCall(
+            clockReading(sentAt),
+            clockReading(answeredAt),
+            wait.milliseconds,
+            hasChanges
+        )
+
+    /** Listed at 0 up to revision 10; changes up to 12 and 15; nothing more up to 17 at 1,000. */
+    private val log =
+        StoreLog()
+            .listed(10, call(-4, 0))
+            .answered(10, 12, "a", call(0, 300, 800, hasChanges = true))
+            .answered(12, 15, "b", call(400, 600, 800, hasChanges = true))
+            .answered(15, 17, null, call(700, 1_000, 300))
+
+    private data class Case(
+        val name: String,
+        val log: StoreLog,
+        val after: Long,
+        val receivedAt: ClockReading,
+        val answer: String,
+        val waits: Boolean
+    )
+
+    /**
+     * Guards against changes that a follower never sees, and against confirmations of a reader that
+     * was frozen or cut from the store.
+     */
+    @Test
+    fun `a log answers only what the store told recently`() {
+        val now = clockReading(1_100)
+        val later = log.answered(17, 17, null, call(1_000, 1_800, 800))
+        val restarted = StoreLog().answered(20, 21, "c", call(1_090, 1_094, hasChanges = true))
+        listOf(
+            Case("two answers behind", log, 10, now, "17 [12, 15] age 400", false),
+            Case("inside an answer", log, 13, now, "17 [15] age 400", false),
+            Case("nothing new", log, 17, now, "17 [] age 400", true),
+            Case("follower ahead", log, 19, now, "17 [] age 400", true),
+            Case("confirmed while it waited", later, 17, now, "17 [] age 100", false),
+            Case("before the log", log, 9, now, "GAP", false),
+            Case("reader restarted", restarted, 17, now, "GAP", false),
+            Case("call overdue", log, 10, clockReading(2_101), "NOT_READING", true),
+            Case("reader suspended", log, 10, clockReading(1_100, 60_000), "NOT_READING", true),
+            Case("store lost", log.lost(), 10, now, "NOT_READING", false),
+            Case("never read", StoreLog(), 10, now, "NOT_READING", true),
+            Case("wall clock set back", log, 17, clockReading(1_100, 0), "17 [] age 400", true)
+        ).forEach { case ->
+            val answer = case.log.answer(case.after, case.receivedAt, case.receivedAt)
+            assertEquals(case.answer, describe(answer), case.name)
+            assertEquals(!case.waits, case.log.hasNews(case.after, case.receivedAt), case.name)
+        }
+    }
+
+    private fun describe(answer: LogAnswer): String = when (answer) {
+        is Known -> {
+            val age = answer.age.inWholeMilliseconds
+            "${answer.revision} ${answer.changes.map { it.revision }} age $age"
+        }
+
+        is Refused -> answer.failure.name
+    }
+
+    private data class WaitCase(val name: String, val now: Long, val read: Long, val hold: Long)
+
+    /** Guards against followers that learn too late that the store is silent. */
+    @Test
+    fun `waits end before the next answer of the store is overdue`() {
+        listOf(
+            WaitCase("answered now", now = 1_000, read = 800, hold = 400),
+            WaitCase("after a pause", now = 1_700, read = 100, hold = 400),
+            WaitCase("due", now = 1_900, read = 1, hold = 200),
+            WaitCase("overdue: in case it answers after all", now = 2_200, read = 1, hold = 400)
+        ).forEach { case ->
+            val now = clockReading(case.now)
+            assertEquals(case.read.milliseconds, log.readWait(now), case.name)
+            assertEquals(case.hold.milliseconds, log.holdTime(now), case.name)
+        }
+    }
+
+    /** Guards against a log that grows without end, or answers that exceed a frame. */
+    @Test
+    fun `the oldest changes are dropped`() {
+        listOf(1 to 64, 100_000 to 6, 700_000 to 0).forEach { (characters, kept) ->
+            val text = "x".repeat(characters)
+            val full =
+                (1L..100L).fold(StoreLog().listed(0, call(0, 1))) { all, revision ->
+                    all.answered(revision - 1, revision, text, call(0, 1, hasChanges = true))
+                }
+            assertEquals(kept, full.changes.size, "$characters")
+            assertEquals(100L - kept, full.start, "$characters")
+        }
+    }
+
+    private data class Relay(val name: String, val age: Long, val took: Long, val confirmed: Long)
+
+    /** Guards against a relayed confirmation that counts as newer than it is. */
+    @Test
+    fun `a relayed confirmation is no newer than its reader states`() {
+        listOf(
+            Relay("at once", age = 500, took = 4, confirmed = 500),
+            Relay("slow link", age = 500, took = 590, confirmed = 500),
+            Relay("confirmed meanwhile", age = -300, took = 400, confirmed = 1_300),
+            Relay("in the future", age = -9_000, took = 400, confirmed = 1_400)
+        ).forEach { case ->
+            val answeredAt = clockReading(1_000 + case.took)
+            val age = case.age.milliseconds
+            val relayed =
+                WatchCall(clockReading(1_000), answeredAt, Duration.ZERO, false, relayedAge = age)
+            assertEquals(clockReading(case.confirmed), relayed.confirmedAt, case.name)
+            assertTrue(WatchSchedule(40).after(relayed).pause <= 50.milliseconds, case.name)
+        }
+    }
+}
