Read the store through one host of each data centre

Callers see no change; the calls to the store no longer grow with the number of hosts. DataCentreStore decorates the store: a follower asks the reader for changes over a connection of its own, and calls the store at once if the reader does not answer, does not read, states an old confirmation or does not know the changes. Answers of the store pass through in its own encoding.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -52,10 +52,13 @@
     private val profile = source.read()
     private val state = ForwardingState(profile, clock)
     private val settings = SettingsWatch(source, state)
-    private val feed = StoreFeed(store, state)
+    private val reads = StoreReads()
+    private val relay = StoreRelay(state, reads)
+    private val feed =
+        StoreFeed(DataCentreStore(store, StoreFollower(sockets, state), relay, state, reads), state)
     private val shutdown =
         GracefulShutdown(ShutdownTimes.within(profile.shutdownGracePeriod), clock, emptyList())
-    private val metrics = ForwardingMetrics(state)
+    private val metrics = ForwardingMetrics(state, reads)
 
     /** Starts a graceful shutdown and withdraws the announcement of this host. */
     public fun signal() {
@@ -121,7 +124,7 @@
         val guard = CrashGuard(workScope, sockets, store, state)
         val forwarding =
             RequestForwarding(protocol, state, calls, stages, executor, guard, shutdown)
-        val server = PieceServer(localExecutor, state)
+        val server = PieceServer(localExecutor, state, relay)
         launch {
             sockets.listen(profile.peers).use {
                 it.runSockets { socket ->
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
@@ -12,9 +12,10 @@
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
+import org.sapphirelever.decisions.forwarding.ReaderFailure
 
 /** Metrics in a registry of their own, so that hosts in one process do not share counts. */
-public class ForwardingMetrics(state: ForwardingState) {
+public class ForwardingMetrics(state: ForwardingState, reads: StoreReads) {
     private val registry = PrometheusRegistry()
     private val requests =
         Counter
@@ -54,6 +55,25 @@
         count("sapphirelever_target_pause_requests_total", "Refusals that ask for a pause") {
             state.notices.pauseRequests.get()
         }
+        count("sapphirelever_store_calls_total", "Answered calls for changes to the store") {
+            reads.storeCalls.get()
+        }
+        count("sapphirelever_store_relayed_total", "Answers about the store from another host") {
+            reads.relayed.get()
+        }
+        count("sapphirelever_store_replies_total", "Answers about the store to other hosts") {
+            reads.replies.get()
+        }
+        CounterWithCallback
+            .builder()
+            .name("sapphirelever_store_fallbacks_total")
+            .help("Calls to the store that replace the answer of another host, by cause")
+            .labelNames("cause")
+            .callback { counter ->
+                ReaderFailure.entries.forEach {
+                    counter.call(reads.fallbacks(it).toDouble(), it.label)
+                }
+            }.register(registry)
         gauge("sapphirelever_message_memory_held_bytes", "Memory that messages hold") {
             state.memory.heldBytes.toDouble()
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -10,6 +10,7 @@
 import org.sapphirelever.core.forwarding.ForwardingConfiguration
 import org.sapphirelever.core.forwarding.HostAnnouncement
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.WatchCall
 import org.sapphirelever.wire.CrashReportMessage
 import org.sapphirelever.wire.LimitReportMessage
 
@@ -47,11 +48,16 @@
  * Entries up to [revision].
  *
  * @property isFullListing whether these are all entries; any other known entry no longer exists
+ * @property encoded changes as the store encoded them, for [ForwardingStore.decode]; null if there
+ *   are none
+ * @property call the call that they answer, if it differs from the requested one
  */
 public data class StoreEntries(
     public val entries: PersistentList<StoreEntry>,
     public val revision: Long,
-    public val isFullListing: Boolean
+    public val isFullListing: Boolean,
+    public val encoded: String? = null,
+    public val call: WatchCall? = null
 )
 
 /** A lease in the store that this process holds. */
@@ -72,6 +78,12 @@
      */
     public suspend fun changes(revision: Long, wait: Duration): StoreEntries?
 
+    /**
+     * Decodes the entries changed after [revision] from the [encoded] changes of an earlier answer,
+     * which another host received.
+     */
+    public fun decode(encoded: String, revision: Long): PersistentList<StoreEntry>
+
     /** Announces [host] under a new lease of [lifetime]. */
     public suspend fun announce(
         host: HostId,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/PieceServer.kt
@@ -1,5 +1,6 @@
 /*
- * Execution of pieces for other hosts. Each of their connections is served by one task.
+ * Execution of pieces for other hosts, and answers to those that follow the store through this one.
+ * Each of their connections is served by one task.
  */
 package org.sapphirelever.runtime.forward
 
@@ -12,6 +13,7 @@
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -25,18 +27,20 @@
 import org.sapphirelever.wire.peer.MakePieces
 import org.sapphirelever.wire.peer.PiecesMade
 import org.sapphirelever.wire.peer.ReleaseResults
+import org.sapphirelever.wire.peer.StoreChangesRequest
 import org.sapphirelever.wire.peer.WaitEstimateMessage
 import org.sapphirelever.wire.peer.WorkContinues
 
 /** Executes pieces for other hosts with [executor]. */
 public class PieceServer(
     private val executor: LocalPieceExecutor,
-    private val state: ForwardingState
+    private val state: ForwardingState,
+    private val relay: StoreRelay
 ) {
     /** Serves [connection] until it closes; its unfinished pieces are then cancelled. */
     public suspend fun serve(connection: PeerConnection): Unit = coroutineScope {
         val jobs = ConcurrentHashMap<Long, Job>()
-        launch { reportWork(connection, jobs) }
+        val reports = launch { reportWork(connection, jobs) }
         while (true) {
             when (val message = connection.receive(IDLE_TIMEOUT)) {
                 is MakePieces -> {
@@ -49,6 +53,12 @@
 
                 is ReleaseResults -> release(message)
 
+                is StoreChangesRequest -> {
+                    // A connection of a host that follows the store carries nothing else.
+                    reports.cancelAndJoin()
+                    relay.serve(connection, message)
+                }
+
                 else -> throw IOException("unexpected ${message::class.simpleName}")
             }
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -170,7 +170,8 @@
         val answeredAt = state.readClock()
         apply(received)
         revision = maxOf(received.revision, known ?: 0)
-        return WatchCall(sentAt, answeredAt, wait, received.entries.isNotEmpty())
+        return received.call
+            ?: WatchCall(sentAt, answeredAt, wait, received.entries.isNotEmpty())
     }
 
     private fun recordAnswer(call: WatchCall) {
--- /dev/null
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFollower.kt
@@ -0,0 +1,64 @@
+/*
+ * Connection to the host that reads the store for this one. It carries one request at a time.
+ */
+package org.sapphirelever.runtime.forward
+
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.serialization.SerializationException
+import org.sapphirelever.core.HostId
+import org.sapphirelever.decisions.forwarding.StoreLog
+import org.sapphirelever.runtime.peer.PeerConnection
+import org.sapphirelever.runtime.transport.Sockets
+import org.sapphirelever.wire.peer.StoreChangesReply
+import org.sapphirelever.wire.peer.StoreChangesRequest
+
+/** Asks other hosts for changes of the store. Only one task may use it. */
+public class StoreFollower(private val sockets: Sockets, private val state: ForwardingState) {
+    private class Link(val reader: HostId, val connection: PeerConnection)
+
+    private var link: Link? = null
+
+    /**
+     * Asks [reader] for the changes after [revision]. Throws [IOException] if it does not answer in
+     * time.
+     */
+    public suspend fun ask(reader: HostId, revision: Long): StoreChangesReply {
+        var isAnswered = false
+        try {
+            val connection = connectionTo(reader)
+            connection.send(StoreChangesRequest(revision), ANSWER_TIMEOUT)
+            val reply = connection.receive(ANSWER_TIMEOUT)
+            isAnswered = reply is StoreChangesReply
+            return reply as? StoreChangesReply
+                ?: throw IOException("unexpected ${reply::class.simpleName}")
+        } catch (invalid: SerializationException) {
+            throw IOException("reply cannot be decoded", invalid)
+        } finally {
+            // A late reply on this connection could be taken for that to the next request.
+            if (!isAnswered) close()
+        }
+    }
+
+    /** Closes the connection, if there is one. */
+    public fun close() {
+        link?.connection?.close()
+        link = null
+    }
+
+    private suspend fun connectionTo(reader: HostId): PeerConnection {
+        link?.takeIf { it.reader == reader }?.let { return it.connection }
+        close()
+        val endpoint = state.hosts.value[reader]?.peers ?: throw IOException("unknown host")
+        val opened = PeerConnection(sockets.connectSocket(endpoint, CONNECT_TIMEOUT))
+        link = Link(reader, opened)
+        return opened
+    }
+
+    private companion object {
+        /** A reply may be late by 200 ms. */
+        val ANSWER_TIMEOUT: Duration = StoreLog.LONGEST_HOLD + 200.milliseconds
+        val CONNECT_TIMEOUT = 250.milliseconds
+    }
+}
--- a/wire/src/test/kotlin/org/sapphirelever/wire/peer/PeerCodecTest.kt
+++ b/wire/src/test/kotlin/org/sapphirelever/wire/peer/PeerCodecTest.kt
@@ -42,7 +42,10 @@
         ForwardedOutcome(1),
         KeyHandover("i", endpoint, emptyList()),
         KeyHandoverAccepted(true),
-        Leaving(member)
+        Leaving(member),
+        StoreChangesRequest(7),
+        StoreChangesReply(revision = 9, ageMillis = -3, changes = listOf(ChangesMessage(9, "{}"))),
+        StoreChangesReply(refusal = StoreRefusal.GAP)
     )
 
     @Test
