Merge the bounds of long store answers into the reading through one host

DataCentreStore takes the sealed result of a call for changes. An answer that breaks off counts as a loss of the store when it has no wait, as it does in the feed, and is not passed on to followers.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/DataCentreStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/DataCentreStore.kt
@@ -45,21 +45,24 @@
     }
 
     /** Without a [wait], the store itself is asked, unless this host cannot reach it. */
-    override suspend fun changes(revision: Long, wait: Duration): StoreEntries? {
+    override suspend fun changes(
+        revision: Long,
+        wait: Duration,
+        reader: AnswerReader
+    ): StoreChanges {
         val now = state.clock.now()
         val order = readerOrder(state.profile.dataCentre, state.hosts.value)
         val chosen = lostReaders.source(self, order, now)
         recordSource(chosen)
         val mustCall = wait == Duration.ZERO && !lostReaders.isAvoided(self, now)
         return when (chosen) {
-            is StoreSource.Store -> call(revision, if (mustCall) wait else chosen.bounded(wait))
+            is StoreSource.Store ->
+                call(revision, if (mustCall) wait else chosen.bounded(wait), reader)
 
-            is StoreSource.Peer ->
-                if (mustCall) {
-                    call(revision, wait)
-                } else {
-                    follow(chosen.reader, revision) ?: call(revision, Duration.ZERO)
-                }
+            is StoreSource.Peer -> {
+                val relayed = if (mustCall) null else follow(chosen.reader, revision)
+                relayed?.let { StoreChanges.Whole(it) } ?: call(revision, Duration.ZERO, reader)
+            }
         }
     }
 
@@ -67,21 +70,24 @@
     private fun StoreSource.Store.bounded(wait: Duration): Duration =
         if (isFollowed) minOf(wait, relay.log.readWait(state.readClock())) else wait
 
-    private suspend fun call(revision: Long, wait: Duration): StoreEntries? {
+    private suspend fun call(revision: Long, wait: Duration, reader: AnswerReader): StoreChanges {
         val sentAt = state.readClock()
-        val received =
+        val changes =
             try {
-                store.changes(revision, wait)
+                store.changes(revision, wait, reader)
             } catch (failure: IOException) {
                 // The store may cut a call that waits.
                 if (wait == Duration.ZERO) recordLoss()
                 throw failure
-            } ?: return null
+            }
+        if (changes is StoreChanges.CutOff && wait == Duration.ZERO) recordLoss()
+        if (changes !is StoreChanges.Whole) return changes
+        val received = changes.entries
         val call = WatchCall(sentAt, state.readClock(), wait, received.entries.isNotEmpty())
         relay.update { it.answered(revision, received.revision, received.encoded, call) }
         lostReaders = lostReaders.regained(self)
         reads.storeCalls.incrementAndGet()
-        return received.copy(call = call)
+        return StoreChanges.Whole(received.copy(call = call))
     }
 
     private fun recordLoss() {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -48,6 +48,7 @@
  * Entries up to [revision].
  *
  * @property isFullListing whether these are all entries; any other known entry no longer exists
+ * @property bytes size of the answer that held them
  * @property encoded changes as the store encoded them, for [ForwardingStore.decode]; null if there
  *   are none
  * @property call the call that they answer, if it differs from the requested one
@@ -56,10 +57,38 @@
     public val entries: PersistentList<StoreEntry>,
     public val revision: Long,
     public val isFullListing: Boolean,
+    public val bytes: Long = 0,
     public val encoded: String? = null,
     public val call: WatchCall? = null
 )
 
+/** How a call for changes ended. */
+public sealed interface StoreChanges {
+    /** The whole answer arrived. */
+    public data class Whole(public val entries: StoreEntries) : StoreChanges
+
+    /** The answer broke off with [failure]; [entries] arrived before. */
+    public data class CutOff(
+        public val entries: StoreEntries,
+        public val failure: java.io.IOException
+    ) : StoreChanges
+
+    /** The answer was not read to its end because it is longer than a listing. */
+    public data object TooLong : StoreChanges
+
+    /** The store has compacted the history of these changes. */
+    public data object HistoryGone : StoreChanges
+}
+
+/** Decides whether an answer is read to its end. */
+public fun interface AnswerReader {
+    /**
+     * Called when the head of an answer has arrived, and again after each part of one that states
+     * no length. [bytes] is the stated length, or else what has arrived.
+     */
+    public fun readsOn(bytes: Long): Boolean
+}
+
 /** A lease in the store that this process holds. */
 public data class StoreLease(public val id: Long, public val lifetime: Duration)
 
@@ -73,10 +102,10 @@
     public suspend fun entries(): StoreEntries
 
     /**
-     * Entries changed after [revision], or null if the store has compacted that history. If there
-     * are none, the store waits for the next change for up to [wait].
+     * Entries changed after [revision]. If there are none, the store waits for the next change for
+     * up to [wait]. The answer is read while [reader] permits.
      */
-    public suspend fun changes(revision: Long, wait: Duration): StoreEntries?
+    public suspend fun changes(revision: Long, wait: Duration, reader: AnswerReader): StoreChanges
 
     /**
      * Decodes the entries changed after [revision] from the [encoded] changes of an earlier answer,
