Take the answers of a sound reader also at a short revocation delay

With a revocation delay of 3 s, a follower dropped an answer of 1.80 s as old though its reader was answered in time: once among seven hosts in 33 s on loopback. A sound reader's confirmation grows up to 1.9 s old, so the bound leaves 0.1 s before the end of readiness instead of 0.2 s.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreReader.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreReader.kt
@@ -83,4 +83,4 @@
 /** Two readers on their own make fewer calls than one that is followed. */
 private const val MINIMUM_HOSTS = 3
 private const val READER_PURPOSE = "store"
-private val OWN_CALL_TIME = 200.milliseconds
+private val OWN_CALL_TIME = 100.milliseconds
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreLogTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreLogTest.kt
@@ -8,6 +8,7 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import org.sapphirelever.decisions.forwarding.LogAnswer.Known
 import org.sapphirelever.decisions.forwarding.LogAnswer.Refused
 
@@ -106,6 +107,16 @@
         }
     }
 
+    /** Guards against followers that drop the answers of a sound reader at a short revocation. */
+    @Test
+    fun `a reader that the store answers in time never counts as old`() {
+        val oldest = log.readWait(clockReading(1_000)) * 2
+        listOf(3, 5).forEach { seconds ->
+            val limit = maximumRelayedAge(maximumReadyAge(seconds.seconds))
+            assertTrue(oldest + SLOW_ANSWER <= limit, "$seconds s: $limit")
+        }
+    }
+
     private data class Relay(val name: String, val age: Long, val took: Long, val confirmed: Long)
 
     /** Guards against a relayed confirmation that counts as newer than it is. */
@@ -125,4 +136,9 @@
             assertTrue(WatchSchedule(40).after(relayed).pause <= 50.milliseconds, case.name)
         }
     }
+
+    private companion object {
+        /** Time of an answer beyond its wait, with a store at the slow end of the usual. */
+        val SLOW_ANSWER = 300.milliseconds
+    }
 }
