--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -11,6 +11,7 @@
 import org.sapphirelever.core.forwarding.ForwardingConfiguration
 import org.sapphirelever.core.forwarding.HostAnnouncement
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.WatchCall
 import org.sapphirelever.wire.CrashReportMessage
 import org.sapphirelever.wire.LimitReportMessage
 
@@ -56,12 +57,17 @@
  *
  * @property isFullListing whether these are all entries; any other known entry no longer exists
  * @property bytes size of the answer that held them
+ * @property encoded changes as the store encoded them, for [ForwardingStore.decode]; null if there
+ *   are none
+ * @property call the call that they answer, if it differs from the requested one
  */
 public data class StoreEntries(
     public val entries: PersistentList<StoreEntry>,
     public val revision: Long,
     public val isFullListing: Boolean,
-    public val bytes: Long = 0
+    public val bytes: Long = 0,
+    public val encoded: String? = null,
+    public val call: WatchCall? = null
 )
 
 /** How a call for changes ended. */
@@ -109,6 +115,12 @@
      */
     public suspend fun changes(revision: Long, wait: Duration, reader: AnswerReader): StoreChanges
 
+    /**
+     * Decodes the entries changed after [revision] from the [encoded] changes of an earlier answer,
+     * which another host received.
+     */
+    public fun decode(encoded: String, revision: Long): PersistentList<StoreEntry>
+
     /** Announces [host] under a new lease of [lifetime]. */
     public suspend fun announce(
         host: HostId,
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -180,8 +180,10 @@
         when (val changes = store.changes(known, wait, ::readsOn)) {
             is StoreChanges.Whole -> {
                 val answeredAt = state.readClock()
-                adopt(changes.entries)
-                return WatchCall(sentAt, answeredAt, wait, changes.entries.entries.isNotEmpty())
+                val received = changes.entries
+                adopt(received)
+                return received.call
+                    ?: WatchCall(sentAt, answeredAt, wait, received.entries.isNotEmpty())
             }
 
             is StoreChanges.CutOff -> {
