Weigh shared tokens that are read again apart from own tokens

Cause: what a read displaces was weighed at the speed of the engine that reads, and for own tokens as well, which are read wherever the request runs. Change: only shared tokens displace, at the median speed of the engines that will read them again; the delay of other requests weighs less in turn.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/FirstTokenForecast.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/FirstTokenForecast.kt
@@ -93,8 +93,8 @@
         val taken = if (slots > 0) (requests / slots).coerceAtMost(1.0) else 0.0
         return FirstTokenForecast(
             waitMillis = wait,
-            othersMillis = readMillis(read) * pace * (DISPLACEMENT_WEIGHT + taken * DELAY_WEIGHT) +
-                preemptionMillis(heldTokens),
+            othersMillis = displacementMillis(read) +
+                readMillis(read) * pace * taken * DELAY_WEIGHT + preemptionMillis(heldTokens),
             keptTokens = kept.toInt(),
             readTokens = read.toInt(),
             standardMillis = standard
@@ -106,6 +106,15 @@
         return view.expectedKept(prompt, loaded, memory - heldTokens, placement.chanceAt(engine))
     }
 
+    /**
+     * Cost of shared tokens that are read though another engine may hold them: they displace as
+     * many others, which some engine has to read again. Own tokens are read wherever it runs.
+     */
+    private fun displacementMillis(readTokens: Double): Double {
+        val sharedTokens = (readTokens - prompt.ownTokens).coerceAtLeast(0.0)
+        return readMillis(sharedTokens) * peers.ratio * peers.slowness * DISPLACEMENT_WEIGHT
+    }
+
     /**
      * Expected wait for one of [slots] places, of which [requests] are taken or asked for. The
      * number of requests is uncertain, so the wait grows smoothly as the places run out.
@@ -139,11 +148,11 @@
         /** Prompt tokens that an idle engine of standard speed reads in a millisecond. */
         const val TOKENS_PER_MILLI = 40.0
 
-        /** What is read displaces as many tokens, which other requests may have to read again. */
-        const val DISPLACEMENT_WEIGHT = 1.0
+        /** Displaced parts are read again by requests that wait, and displace others in turn. */
+        const val DISPLACEMENT_WEIGHT = 2.0
 
         /** Reading delays the requests that run, and those that wait for their end. */
-        const val DELAY_WEIGHT = 3.0
+        const val DELAY_WEIGHT = 2.0
 
         /** Standard deviation of the number of requests at an engine, as a share of its places. */
         const val LOAD_UNCERTAINTY = 0.125
