Write no answer of a call that is cancelled

Ktor's pipeline answers a cancelled call with 500. On the direct transport that write succeeds, so a stand-in that crashes answered first (TargetStandInTest, "a crash closes the server", failed once the front end used the transport).

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/http/FrontEndConnection.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/http/FrontEndConnection.kt
@@ -146,6 +146,8 @@
     }
 
     private suspend fun write(bytes: ByteArray) {
+        // Ktor answers a cancelled call with an error, which may concern a request that has run.
+        currentCoroutineContext().ensureActive()
         caller.enter(CallerPhase.SENDING)
         connection.write(bytes) { caller.noteProgress() }
         caller.enter(CallerPhase.RUNNING)
