--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/CallerRegistry.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/CallerRegistry.kt
@@ -148,8 +148,8 @@
     }
 
     /**
-     * Keeps [bytes] for this caller, of which other callers that make no progress are closed if
-     * there is no room. Throws [MemoryExhaustedException] if that does not help.
+     * Keeps [bytes] for this caller. If there is no room, callers that make no progress are closed;
+     * throws [MemoryExhaustedException] if that does not help.
      */
     public fun keep(bytes: Long, share: Double) {
         try {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/Sockets.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/Sockets.kt
@@ -124,9 +124,9 @@
     /** Runs [serve] in a separate task for each connection, until this listener is closed. */
     public suspend fun run(serve: suspend (Caller) -> Unit): Unit = coroutineScope {
         while (true) {
-            val channel = accept() ?: continue
-            val caller = registry.open(connectionOf(channel))
-            if (caller != null) launch { guarded(caller) { serve(caller) } }
+            val connection = accept()?.let { connectionOf(it) } ?: continue
+            val caller = registry.open(connection) ?: continue
+            launch { guarded(caller) { serve(caller) } }
         }
     }
 
@@ -141,11 +141,15 @@
         null
     }
 
-    private fun connectionOf(channel: SocketChannel): HttpConnection {
+    /** Null if the caller has already closed the connection. */
+    private fun connectionOf(channel: SocketChannel): HttpConnection? = try {
         channel.configureBlocking(false)
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
         channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER_BYTES)
-        return HttpConnection(SocketStream(channel, selector), WRITE_SPAN)
+        HttpConnection(SocketStream(channel, selector), WRITE_SPAN)
+    } catch (_: IOException) {
+        channel.close()
+        null
     }
 
     override fun close() {
