--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/host/Signals.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/host/Signals.kt
@@ -51,7 +51,8 @@
     public fun restoreDefaults() {
         defaults.filterKeys { it !in actions }.forEach { (name, default) ->
             Signal.handle(Signal(name), default)
-            act(name) { default.handle(Signal(name)) }
+            // The JVM cannot call the handler of a signal that its parent ignores.
+            act(name) { if (default != SignalHandler.SIG_IGN) default.handle(Signal(name)) }
         }
     }
 
