Take the platform's names in tests of processes from the fixtures

Tests of the command line had field names of the platform and a key of its store in strings of their own. The fixtures of platform/ have them now; crowds, bounds and requests are unchanged.

--- a/cli/src/test/kotlin/org/sapphirelever/cli/CrowdCases.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/CrowdCases.kt
@@ -4,6 +4,8 @@
  */
 package org.sapphirelever.cli
 
+import org.sapphirelever.platform.callerFields
+
 /** Largest body that the hosts under test accept, in bytes. */
 internal const val CROWD_BODY_BYTES = 262_144
 
@@ -13,7 +15,7 @@
 /** Descriptors that a host under test may open. */
 internal const val CROWD_DESCRIPTORS = 400
 
-private const val HEAD_FIELDS = "Host: a.example\r\nAttempt-Id: 7\r\nDeadline-Ms: 9000\r\n"
+private val HEAD_FIELDS = callerFields(deadlineMillis = 9_000, id = "7")
 private const val SMALL_PIECE_BYTES = 4_096
 private const val CHUNK_BYTES = 1_024
 private const val SHORT_FIELDS = 1_300
--- a/cli/src/test/kotlin/org/sapphirelever/cli/ForwardingHostCrowdTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/ForwardingHostCrowdTest.kt
@@ -14,6 +14,7 @@
 import org.sapphirelever.platform.ReplicaStandIn
 import org.sapphirelever.platform.StoreStandIn
 import org.sapphirelever.platform.TEST_TIMEOUT
+import org.sapphirelever.platform.callerFields
 import org.sapphirelever.platform.hostProfile
 
 /**
@@ -70,9 +71,8 @@
     )
 
     private companion object {
-        const val ORDINARY_TEXT =
-            "GET /safe/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 9c41\r\n" +
-                "Deadline-Ms: 2000\r\n\r\n"
+        val ORDINARY_TEXT =
+            "GET /safe/1 HTTP/1.1\r\n${callerFields(deadlineMillis = 2_000, id = "9c41")}\r\n"
         const val LIMITS = """{"max-fds":$CROWD_DESCRIPTORS}"""
 
         const val CONFIGURATION =
--- a/cli/src/test/kotlin/org/sapphirelever/cli/TargetNoticeSoakTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/TargetNoticeSoakTest.kt
@@ -175,14 +175,14 @@
         /** Empties its data centre for [duration], in which the store may be away. */
         suspend fun empty(duration: Duration) {
             whileStoreAnswers {
-                store.put("op/evacuate/z-$index", "{}")
+                store.evacuate("z-$index")
                 target.empty()
                 delay(RECONNECTION_TIME)
             }
             delay(duration)
             target.takeBack()
             target.turnCold()
-            store.remove("op/evacuate/z-$index")
+            store.takeBack("z-$index")
         }
 
         suspend fun returnCold() = whileStoreAnswers {
