--- a/review/standins-2/Client.java
+++ b/review/standins-2/Client.java
@@ -10,11 +10,13 @@
         }
     }
 
+    private final String host;
     private final String ip;
     private final int port;
     private Http http;
 
     Client(Run.Host host) {
+        this.host = host.name;
         ip = host.ip;
         port = host.front;
     }
@@ -26,6 +28,15 @@
     }
 
     Outcome send(String id, String method, String hostName, String path, String key,
+        long deadlineMillis, String moreHeaders, String body) throws IOException {
+        Run.record("sent " + id + " " + method + " " + path + " to " + host);
+        Outcome outcome = exchange(id, method, hostName, path, key, deadlineMillis, moreHeaders, body);
+        Run.record("answered " + id + " " + (outcome.status() == 0 ? "nothing" : outcome.status())
+            + (outcome.complete() ? "" : ", not complete"));
+        return outcome;
+    }
+
+    private Outcome exchange(String id, String method, String hostName, String path, String key,
         long deadlineMillis, String moreHeaders, String body) throws IOException {
         if (http == null) http = Run.connect(ip, port);
         http.socket.setSoTimeout((int) deadlineMillis + 1_000);
--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -117,6 +117,8 @@
                     continue;
                 }
                 running.incrementAndGet();
+                Run.record("run at " + id + " " + request.method() + " " + request.target() + " "
+                    + (request.get("Attempt-Id") == null ? request.text() : request.get("Attempt-Id")));
                 try {
                     handler.run(this, http, request);
                 } finally {
--- a/review/standins-2/Run.java
+++ b/review/standins-2/Run.java
@@ -189,7 +189,7 @@
         }
 
         void signal(String signal) throws Exception {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
             record("host " + name + " gets SIG" + signal);
         }
 
