Order the records of a target by what the target states

Cause: the store may execute a write seconds after it was sent. A heartbeat ("ready") that was executed after the target's report of its departure replaced that report, since TargetDirectory.put took the record that was read last, and the number of a record was not read.

An earlier record changes nothing, as a change, in a listing or after a removal. A record of the same run that shows no later number does not end a departure. The start time and the number are the target's own, so the order in which the store executes writes no longer matters.

TargetDirectoryTest: the case "restarted, then its earlier record again" stated that the earlier record counts. It now has the start times that targets write, and states that the restart stays in force; the former case without a start time is kept beside it.

--- a/core/src/main/kotlin/org/sapphirelever/core/forwarding/TargetRecord.kt
+++ b/core/src/main/kotlin/org/sapphirelever/core/forwarding/TargetRecord.kt
@@ -16,6 +16,7 @@
  * @property startedAt start time in milliseconds on the wall clock of the target; it differs after
  *   a restart under the same identity
  * @property coldFor time for which it stays cold, counted from when the record is read
+ * @property sequence number of this record among those of the same run of the target
  */
 public data class TargetRecord(
     public val id: TargetId,
@@ -25,7 +26,8 @@
     public val slots: Int,
     public val leaving: Boolean,
     public val startedAt: Long? = null,
-    public val coldFor: Duration = Duration.ZERO
+    public val coldFor: Duration = Duration.ZERO,
+    public val sequence: Long? = null
 ) {
     public val incarnation: TargetIncarnation get() = TargetIncarnation(id, startedAt)
 }
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
@@ -113,14 +113,17 @@
     }
 }
 
-/** Adds or replaces [record], which was read at [now]. */
+/** Adds [record], which was read at [now], unless a later one of its target is known. */
 public fun TargetDirectory.put(record: TargetRecord, now: MonotonicTime): TargetDirectory {
-    val known = targets[record.id]?.takeIf { it.record.incarnation == record.incarnation }
+    val latest = targets[record.id]
+    if (latest != null && record.precedes(latest.record)) return this
+    val known = latest?.takeIf { it.record.incarnation == record.incarnation }
     // After an outage, records return that expired although their targets went on.
     val wasAway = known == null || known.missingSince?.let { !mayHaveExpired(it, now) } == true
     val returnedAt = if (wasAway) now else known?.returnedAt
     val wasLost = known?.wasLost == true
-    return withTarget(ListedTarget(record, null, returnedAt, known?.coldUntil, wasLost), now)
+    val merged = known?.let { record.after(it.record) } ?: record
+    return withTarget(ListedTarget(merged, null, returnedAt, known?.coldUntil, wasLost), now)
 }
 
 private fun TargetDirectory.withTarget(listed: ListedTarget, now: MonotonicTime): TargetDirectory =
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectoryTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectoryTest.kt
@@ -92,9 +92,16 @@
             ),
             Case(
                 "restarted, then its earlier record again",
-                both.departed(
-                    "a"
-                ).put(target("a").copy(startedAt = 2), at(0)).put(target("a"), at(0)),
+                both.put(target("a", startedAt = 1), at(0))
+                    .statedLeaving(target("a", startedAt = 1).incarnation, at(0))
+                    .put(target("a", startedAt = 2), at(0))
+                    .put(target("a", startedAt = 1), at(0)),
+                0,
+                setOf("a", "b")
+            ),
+            Case(
+                "restarted without start times, then its earlier record again",
+                both.departed("a").put(target("a", startedAt = 2), at(0)).put(target("a"), at(0)),
                 0,
                 setOf("b")
             ),
@@ -167,6 +174,93 @@
             )
         )
 
+    /** A record of the target "a" with its number, after which it is or is not usable. */
+    private data class Written(
+        val startedAt: Long?,
+        val sequence: Long?,
+        val leaving: Boolean = false,
+        val isRemoval: Boolean = false
+    )
+
+    private data class OrderCase(val name: String, val usable: Boolean, val read: List<Written>)
+
+    private val ready = Written(startedAt = 5, sequence = 4)
+    private val leaves = Written(startedAt = 5, sequence = 6, leaving = true)
+    private val removal = Written(startedAt = null, sequence = null, isRemoval = true)
+    private val orderCases =
+        listOf(
+            OrderCase("leaves", false, listOf(ready, leaves)),
+            OrderCase("late record", false, listOf(ready, leaves, ready)),
+            OrderCase("same number", false, listOf(ready, leaves, ready.copy(sequence = 6))),
+            OrderCase("later record", true, listOf(ready, leaves, ready.copy(sequence = 7))),
+            OrderCase(
+                "late record without a number",
+                false,
+                listOf(leaves, ready.copy(sequence = null))
+            ),
+            OrderCase(
+                "numbers without a start time",
+                true,
+                listOf(leaves.copy(startedAt = null), ready.copy(startedAt = null))
+            ),
+            OrderCase("restart", true, listOf(leaves, Written(startedAt = 9, sequence = 1))),
+            OrderCase(
+                "late record of an earlier run",
+                false,
+                listOf(Written(startedAt = 9, sequence = 1, leaving = true), ready)
+            ),
+            OrderCase("late record after the removal", false, listOf(leaves, removal, ready)),
+            OrderCase(
+                "removed, then written again",
+                true,
+                listOf(ready, removal, ready.copy(sequence = 5))
+            ),
+            OrderCase("late departure", true, listOf(ready.copy(sequence = 7), leaves))
+        )
+
+    /** Guards against work for a target whose earlier record the store executes late. */
+    @Test
+    fun `a record that the target wrote earlier changes nothing`() {
+        for (case in orderCases) {
+            val ways =
+                mapOf<String, TargetDirectory.(Written) -> TargetDirectory>(
+                    "changes" to
+                        {
+                            if (it.isRemoval) {
+                                removed(
+                                    TargetId("a"),
+                                    at(0)
+                                )
+                            } else {
+                                put(it.record(), at(0))
+                            }
+                        },
+                    "listings" to
+                        {
+                            listed(
+                                listOf(it).filterNot(Written::isRemoval).map { read ->
+                                    read.record()
+                                },
+                                clockReading(0)
+                            )
+                        }
+                )
+            for ((way, read) in ways) {
+                val directory = case.read.fold(TargetDirectory()) { all, written ->
+                    all.read(written)
+                }
+                assertEquals(
+                    case.usable,
+                    directory.usable(SERVICE, at(0)).isNotEmpty(),
+                    "${case.name}, $way"
+                )
+            }
+        }
+    }
+
+    private fun Written.record() =
+        target("a", leaving = leaving, startedAt = startedAt).copy(sequence = sequence)
+
     @Test
     fun `only targets that are listed, or whose record an outage may have expired, take work`() {
         cases.forEach { case ->
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFeed.kt
@@ -27,6 +27,7 @@
 import org.sapphirelever.decisions.forwarding.isListingShorter
 import org.sapphirelever.decisions.forwarding.listed
 import org.sapphirelever.decisions.forwarding.maximumReadyAge
+import org.sapphirelever.decisions.forwarding.precedes
 import org.sapphirelever.decisions.forwarding.put
 import org.sapphirelever.decisions.forwarding.removed
 import org.sapphirelever.decisions.forwarding.storeAnswered
@@ -244,7 +245,7 @@
             val emptied = received.entries.filterIsInstance<StoreEntry.Evacuation>()
                 .associate { it.dataCentre to it.revision }
             val before = state.directory.value.targets
-            records.filter { before[it.id]?.record?.startedAt != it.startedAt }
+            records.filter { it.startsNewRun(before[it.id]?.record) }
                 .forEach { state.forget(it.id) }
             state.evacuations.updateDirectory { directory ->
                 val evacuations = directory.evacuations
@@ -337,9 +338,10 @@
 
     private fun putTarget(record: TargetRecord) {
         val known = state.directory.value.targets[record.id]
-        state.directory.update { it.put(record, state.clock.now()) }
         val before = known?.record
-        val isNew = before == null || before.startedAt != record.startedAt
+        if (before != null && record.precedes(before)) return reportOutdated(record, before)
+        state.directory.update { it.put(record, state.clock.now()) }
+        val isNew = record.startsNewRun(before)
         if (isNew) state.forget(record.id)
         if (!isNew && before?.leaving == record.leaving && known?.missingSince == null) return
         logEvent("target-listed") {
@@ -351,6 +353,20 @@
         }
     }
 
+    private fun TargetRecord.startsNewRun(before: TargetRecord?): Boolean =
+        before == null || (before.startedAt != startedAt && !precedes(before))
+
+    private fun reportOutdated(record: TargetRecord, known: TargetRecord) {
+        logEvent("target-record-outdated") {
+            "target" to record.id
+            "leaving" to record.leaving
+            "started-at" to record.startedAt
+            "known-started-at" to known.startedAt
+            "sequence" to record.sequence
+            "known-sequence" to known.sequence
+        }
+    }
+
     private fun removeTarget(target: TargetId, reason: String) {
         if (target !in state.directory.value.targets) return
         state.directory.update { it.removed(target, state.clock.now()) }
