--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/check/EntryChecks.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/check/EntryChecks.kt
@@ -72,6 +72,7 @@
     val holders = mutableMapOf<String, String>()
     organisations.forEachIndexed { index, organisation ->
         val field = "organisations[$index]"
+        sendableName("$field.name", organisation.name.value)
         if (organisation.keys.isEmpty()) {
             report(
                 CheckCode.ORGANISATION_WITHOUT_KEYS,
@@ -93,6 +94,17 @@
     }
 }
 
+/** Reports a [name] that cannot be a value in the head of a request to a target. */
+private fun CheckScope.sendableName(field: String, name: String) {
+    if (name.isNotBlank() && name == name.trim() && name.none { it.isISOControl() }) return
+    report(
+        CheckCode.VALUE_OUT_OF_RANGE,
+        field,
+        "the name is blank, has spaces around it or holds a control character",
+        "choose a name that targets can be told"
+    )
+}
+
 /** Reports routes whose host and prefix occurred before: the first one gets all requests. */
 internal fun CheckScope.shadowedRoutes(routes: List<Route>) {
     val first = mutableMapOf<Pair<String, String>, Route>()
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/check/ConfigurationCheckTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/check/ConfigurationCheckTest.kt
@@ -175,6 +175,14 @@
             ) {
                 copy(organisations = organisations.addAll(keyed("b" to persistentListOf())))
             },
+            CheckCase(
+                "names that no head can hold",
+                List(3) { "value-out-of-range organisations[${it + 1}].name" }
+            ) {
+                val names = listOf(" ", "b\r\n", " c")
+                val added = names.map { it to persistentListOf("key-$it") }
+                copy(organisations = organisations.addAll(keyed(*added.toTypedArray())))
+            },
             CheckCase("key of two organisations", listOf("key-shared organisations[1].keys[0]")) {
                 copy(organisations = organisations.addAll(keyed("b" to persistentListOf("key-a"))))
             },
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/EventStream.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/EventStream.kt
@@ -62,8 +62,11 @@
     }
 
     private fun eventOf(bytes: ByteArray): StreamEvent {
-        val lines = bytes.decodeToString().lineSequence().filter { it.isNotBlank() }.toList()
-        val id = lines.lastOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)?.trim()
+        // An id is sent in a head, which keeps each byte as a character.
+        val text = bytes.toString(Charsets.ISO_8859_1)
+        val lines = text.lineSequence().filter { it.isNotBlank() }.toList()
+        val id = lines.lastOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)
+            ?.trim(' ', '\t')
         return StreamEvent(bytes, id, lines.all { it.startsWith(COMMENT) })
     }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -25,6 +25,7 @@
 import org.sapphirelever.runtime.transport.OversizedMessageException
 import org.sapphirelever.runtime.transport.ResponseHead
 import org.sapphirelever.runtime.transport.TornMessageException
+import org.sapphirelever.runtime.transport.UnencodableHeadException
 import org.sapphirelever.runtime.transport.encoded
 import org.sapphirelever.runtime.transport.readWhole
 import org.sapphirelever.runtime.transport.responseFraming
@@ -82,6 +83,12 @@
     ): CallOutcome<T> {
         if (!timeout.isPositive()) return CallOutcome.NotSent("no time left")
         objection(target)?.let { return CallOutcome.NotSent(it) }
+        val head =
+            try {
+                request.head.encoded(request.bodyLength())
+            } catch (failure: UnencodableHeadException) {
+                return CallOutcome.NotSent(failure.message.orEmpty())
+            }
         val isCounted = state.shares.isLimited(target)
         if (!state.shares.tryTake(target)) return CallOutcome.NotSent(LIMIT_REACHED)
         val acquired =
@@ -102,7 +109,7 @@
             return CallOutcome.NotSent(objection)
         }
         state.updateView(target.id) { it.copy(outstanding = it.outstanding + 1) }
-        val exchange = Exchange(acquired, target, request, id)
+        val exchange = Exchange(acquired, target, request, head, id)
         return try {
             withTimeoutOrNull(timeout) { exchange.run(use) }
                 ?: lost(target, "no answer in $timeout", broken = false)
@@ -145,6 +152,7 @@
         private val acquired: AcquiredConnection,
         private val target: TargetRecord,
         private val request: TargetRequest,
+        private val head: ByteArray,
         private val id: String?
     ) {
         private val connection = acquired.connection
@@ -188,7 +196,7 @@
 
         private suspend fun CoroutineScope.send() {
             try {
-                connection.write(request.head.encoded(request.bodyLength()), request.body.blocks)
+                connection.write(head, request.body.blocks)
             } catch (_: IOException) {
                 // The target may have responded before it read the whole body; receive() decides.
                 ensureActive()
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HttpConnection.kt
@@ -132,24 +132,6 @@
     }
 }
 
-/** Bytes of a request head; it gets a `Content-Length` field unless [bodyBytes] is null. */
-public fun RequestHead.encoded(bodyBytes: Int?): ByteArray = buildString {
-    append(method).append(' ').append(target).append(" HTTP/1.1\r\n")
-    appendFields(headers)
-    if (bodyBytes != null) append("Content-Length: ").append(bodyBytes).append("\r\n")
-    append("\r\n")
-}.toByteArray(Charsets.ISO_8859_1)
-
-public fun ResponseHead.encoded(): ByteArray = buildString {
-    append("HTTP/1.1 ").append(status).append(' ').append(reason).append("\r\n")
-    appendFields(headers)
-    append("\r\n")
-}.toByteArray(Charsets.ISO_8859_1)
-
-private fun StringBuilder.appendFields(headers: Headers) {
-    headers.fields.forEach { append(it.name).append(": ").append(it.value).append("\r\n") }
-}
-
 /** [bytes] as one chunk of a chunked body. */
 public fun chunkOf(bytes: ByteArray): ByteArray {
     val size = "${bytes.size.toString(HEXADECIMAL_RADIX)}\r\n".toByteArray(Charsets.ISO_8859_1)
