Do not take a reset during an upload for the end of an answer

Cause: the kernel reports a reset once. The write of the upload took the error, and the read that followed saw an ordinary end of the connection, which ends a body without a length.

Change: a connection remembers that a write failed, and an end that a read sees after that counts as broken. Reads and writes share a lock, so no read comes between the failure and its note.

A carriage return in a reason phrase was passed on to callers and is refused now.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HeadReader.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/HeadReader.kt
@@ -137,10 +137,11 @@
 internal fun Head.toResponse(): ResponseHead {
     val parts = startLine.split(' ', limit = STATUS_LINE_PARTS)
     val status = parts.getOrNull(1)?.takeIf { it.length == STATUS_DIGITS }?.toIntOrNull()
-    if (parts[0] !in VERSIONS || status == null || status < LEAST_STATUS) {
-        throw TornMessageException("invalid response")
-    }
-    return ResponseHead(status, parts.getOrElse(2) { "" }, headers)
+    val reason = parts.getOrElse(2) { "" }
+    val isValid = parts[0] in VERSIONS && status != null && status >= LEAST_STATUS &&
+        reason.none { it == '\r' || it == '\u0000' }
+    if (!isValid) throw TornMessageException("invalid response")
+    return ResponseHead(checkNotNull(status), reason, headers)
 }
 
 private fun Char.isTokenCharacter(): Boolean =
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/SocketStream.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/transport/SocketStream.kt
@@ -11,6 +11,7 @@
 import io.ktor.network.selector.SelectorManager
 import io.ktor.utils.io.InternalAPI
 import java.io.Closeable
+import java.io.IOException
 import java.nio.ByteBuffer
 import java.nio.channels.SelectableChannel
 import java.nio.channels.SocketChannel
@@ -70,14 +71,28 @@
     constructor(socket: SocketChannel, selector: SelectorManager) :
         this(socket, SelectableSocket(socket, selector))
 
+    private val lock = Any()
+
+    /**
+     * The kernel reports a reset only once. After a write that failed, a read ends as if the peer
+     * had closed the connection, so the end no longer shows that everything arrived.
+     */
+    private var hasWriteFailed = false
+
     /** Waits until there are bytes to read or the peer has closed the connection. */
     suspend fun awaitReadable() {
         selectable.await(SelectInterest.READ)
     }
 
-    /** Reads what is there into [buffer] without waiting; -1 at the end, 0 if nothing is there. */
-    fun readNow(buffer: ByteArray, offset: Int = 0): Int =
-        socket.read(ByteBuffer.wrap(buffer, offset, buffer.size - offset))
+    /**
+     * Reads what is there into [buffer] without waiting; -1 at the end, 0 if nothing is there.
+     * Throws [IOException] if the connection was reset.
+     */
+    fun readNow(buffer: ByteArray, offset: Int = 0): Int = synchronized(lock) {
+        val count = socket.read(ByteBuffer.wrap(buffer, offset, buffer.size - offset))
+        if (count < 0 && hasWriteFailed) throw IOException("connection lost during a write")
+        count
+    }
 
     /**
      * Writes all [bytes] and returns when the kernel has them. Waits by [awaitWritable], which gets
@@ -91,13 +106,22 @@
         var offset = 0
         while (offset < bytes.size) {
             val count = minOf(bytes.size - offset, MAXIMUM_WRITE_BYTES)
-            val written = socket.write(ByteBuffer.wrap(bytes, offset, count))
+            val written = writeNow(ByteBuffer.wrap(bytes, offset, count))
             offset += written
             onProgress(written)
             if (written == 0) awaitWritable { selectable.await(SelectInterest.WRITE) }
         }
     }
 
+    private fun writeNow(bytes: ByteBuffer): Int = synchronized(lock) {
+        try {
+            socket.write(bytes)
+        } catch (failure: IOException) {
+            hasWriteFailed = true
+            throw failure
+        }
+    }
+
     fun shutdownOutput() {
         socket.shutdownOutput()
     }
