--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetCall.kt
@@ -82,32 +82,17 @@
         use: suspend (OpenResponse) -> T
     ): CallOutcome<T> {
         if (!timeout.isPositive()) return CallOutcome.NotSent("no time left")
-        objection(target)?.let { return CallOutcome.NotSent(it) }
         val head =
             try {
                 request.head.encoded(request.bodyLength())
             } catch (failure: UnencodableHeadException) {
                 return CallOutcome.NotSent(failure.message.orEmpty())
             }
-        val isCounted = state.shares.isLimited(target)
-        if (!state.shares.tryTake(target)) return CallOutcome.NotSent(LIMIT_REACHED)
         val acquired =
-            try {
-                pool.acquire(target)
-            } catch (failure: IOException) {
-                lost(target, failure.message.orEmpty(), broken = true)
-                return CallOutcome.NotSent(failure.message.orEmpty())
+            when (val opening = open(target)) {
+                is Opening.Refused -> return CallOutcome.NotSent(opening.reason)
+                is Opening.Open -> opening.connection
             }
-        if (!acquired.isReused) {
-            state.directory.update { it.connectionOpened(target.incarnation, state.clock.now()) }
-        }
-        // A change or the answer to another call may have arrived while the connection was opened.
-        val hasShare = isCounted || state.shares.tryTake(target)
-        val objection = objection(target) ?: if (hasShare) null else LIMIT_REACHED
-        if (objection != null) {
-            pool.release(target.id, acquired.connection, idleTimeout = null)
-            return CallOutcome.NotSent(objection)
-        }
         state.updateView(target.id) { it.copy(outstanding = it.outstanding + 1) }
         val exchange = Exchange(acquired, target, request, head, id)
         return try {
@@ -135,6 +120,35 @@
         }
     }
 
+    /** A connection for one call, or why there is none. */
+    private sealed interface Opening {
+        class Open(val connection: AcquiredConnection) : Opening
+
+        class Refused(val reason: String) : Opening
+    }
+
+    private suspend fun open(target: TargetRecord): Opening {
+        objection(target)?.let { return Opening.Refused(it) }
+        val isCounted = state.shares.isLimited(target)
+        if (!state.shares.tryTake(target)) return Opening.Refused(LIMIT_REACHED)
+        val acquired =
+            try {
+                pool.acquire(target)
+            } catch (failure: IOException) {
+                lost(target, failure.message.orEmpty(), broken = true)
+                return Opening.Refused(failure.message.orEmpty())
+            }
+        if (!acquired.isReused) {
+            state.directory.update { it.connectionOpened(target.incarnation, state.clock.now()) }
+        }
+        // A change or the answer to another call may have arrived while the connection was opened.
+        val hasShare = isCounted || state.shares.tryTake(target)
+        val objection = objection(target) ?: if (hasShare) null else LIMIT_REACHED
+        if (objection == null) return Opening.Open(acquired)
+        pool.release(target.id, acquired.connection, idleTimeout = null)
+        return Opening.Refused(objection)
+    }
+
     private fun objection(target: TargetRecord): String? = state.notices.objection(target)?.also {
         if (state.directory.value.evacuations.isEmptied(target.dataCentre)) {
             state.evacuations.preventedCalls.incrementAndGet()
