Follow the store over its return from an older copy

Cause: a revision alone was taken for a position in the store's history, and a lease for this host's for as long as it could be renewed.

Change, as in docs/design/store-recovery.md: positions are an era and a revision; answers of an earlier era are dropped, changes of a later one lead to a listing, which one host of a data centre makes for the others. What a host knows is not undone by the copy until its writer has had time to write again. Announcements and reports are written again, spread over time, and no claim is taken while one of the lost seconds could still hold. An announcement that the store no longer lists is written again as well, which covers a late write under an earlier lease.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreLog.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreLog.kt
@@ -13,11 +13,20 @@
 /** An answer of the store with changes up to [revision], in the store's encoding. */
 public data class EncodedChanges(public val revision: Long, public val text: String)
 
+/** The [pages] of a listing up to [revision], in the store's encoding. */
+public data class EncodedListing(
+    public val revision: Long,
+    public val pages: PersistentList<String>,
+    public val confirmedAt: ClockReading
+)
+
 /** What a host answers to one that follows it. */
 public sealed interface LogAnswer {
     /**
-     * Everything up to [revision].
+     * Everything up to [revision] of [era].
      *
+     * @property listing the encoded pages of a listing up to [revision], if the requested position
+     *   is of an earlier era; there are no changes then
      * @property changes answers of the store that reach beyond the requested revision
      * @property age age of the confirmation when the request was received; negative if the store
      *   confirmed later
@@ -25,7 +34,9 @@
     public data class Known(
         public val revision: Long,
         public val changes: PersistentList<EncodedChanges>,
-        public val age: Duration
+        public val age: Duration,
+        public val era: Long = 0,
+        public val listing: PersistentList<String> = persistentListOf()
     ) : LogAnswer
 
     public data class Refused(public val failure: ReaderFailure) : LogAnswer
@@ -38,8 +49,9 @@
 )
 
 /**
- * Changes after the revision [start] up to [revision].
+ * Changes after the revision [start] up to [revision] of [era].
  *
+ * @property listing the listing with which this host followed the store into [era], if it did
  * @property changes the answers of the store that held them, oldest first
  * @property contact last answer of the store; null before the first one and after a failed call
  * @property isLost whether the last call without a wait failed
@@ -49,7 +61,9 @@
     public val revision: Long = 0,
     public val changes: PersistentList<EncodedChanges> = persistentListOf(),
     public val contact: StoreContact? = null,
-    public val isLost: Boolean = false
+    public val isLost: Boolean = false,
+    public val era: Long = 0,
+    public val listing: EncodedListing? = null
 ) {
     /**
      * The log with the answer to [call], which asked for changes after [after] and got [text] up to
@@ -58,7 +72,11 @@
     public fun answered(after: Long, reached: Long, text: String?, call: WatchCall): StoreLog {
         val contact = StoreContact(call.answeredAt, call.confirmedAt)
         val continued =
-            if (after == revision) this else StoreLog(start = after, revision = after)
+            if (after == revision) {
+                this
+            } else {
+                copy(start = after, revision = after, changes = persistentListOf())
+            }
         val added =
             text?.let { continued.changes.add(EncodedChanges(reached, it)) } ?: continued.changes
         return continued
@@ -67,12 +85,26 @@
             .copy(contact = contact, isLost = false)
     }
 
-    /** The log after a listing up to [reached]; what changed before it is unknown. */
-    public fun listed(reached: Long, call: WatchCall): StoreLog = StoreLog(
-        start = reached,
-        revision = reached,
-        contact = StoreContact(call.answeredAt, call.confirmedAt)
-    )
+    /**
+     * The log after a listing up to [reached], whose encoded pages are [pages]; what changed before
+     * it is unknown. The first listing of an era is kept for hosts that know only an earlier one.
+     */
+    public fun listed(
+        reached: StorePosition,
+        call: WatchCall,
+        pages: PersistentList<String> = persistentListOf()
+    ): StoreLog {
+        val isKept = revision > 0 && reached.era > era && pages.isNotEmpty() &&
+            pages.sumOf { it.length } <= MAXIMUM_CHARACTERS
+        return StoreLog(
+            start = reached.revision,
+            revision = reached.revision,
+            contact = StoreContact(call.answeredAt, call.confirmedAt),
+            era = reached.era,
+            listing =
+                if (isKept) EncodedListing(reached.revision, pages, call.confirmedAt) else null
+        )
+    }
 
     /** The log after a call without a wait that failed. */
     public fun lost(): StoreLog = copy(contact = null, isLost = true)
@@ -95,30 +127,49 @@
     }
 
     /** Whether a request for changes after [after], received at [receivedAt], need not wait. */
-    public fun hasNews(after: Long, receivedAt: ClockReading): Boolean {
+    public fun hasNews(after: StorePosition, receivedAt: ClockReading): Boolean {
         if (isLost) return true
         if (!isCurrent(receivedAt)) return false
         val confirmedAgain = contact?.let { it.answeredAt.monotonic > receivedAt.monotonic } == true
-        return after < start || revision > after || confirmedAgain
+        return after.era != era || after.revision < start || revision > after.revision ||
+            confirmedAgain
     }
 
     /** The answer at [now] to a request for changes after [after], received at [receivedAt]. */
-    public fun answer(after: Long, receivedAt: ClockReading, now: ClockReading): LogAnswer {
+    public fun answer(
+        after: StorePosition,
+        receivedAt: ClockReading,
+        now: ClockReading
+    ): LogAnswer {
         val contact = contact
         return when {
-            contact == null || !isCurrent(now) -> LogAnswer.Refused(ReaderFailure.NOT_READING)
+            contact == null || !isCurrent(now) || after.era > era ->
+                LogAnswer.Refused(ReaderFailure.NOT_READING)
+
+            after.era < era -> listing?.let { answer(it, receivedAt) }
+                ?: LogAnswer.Refused(ReaderFailure.GAP)
 
-            after < start -> LogAnswer.Refused(ReaderFailure.GAP)
+            after.revision < start -> LogAnswer.Refused(ReaderFailure.GAP)
 
             else ->
                 LogAnswer.Known(
                     revision,
-                    changes.filter { it.revision > after }.toPersistentList(),
-                    receivedAt.since(contact.confirmedAt)
+                    changes.filter { it.revision > after.revision }.toPersistentList(),
+                    receivedAt.since(contact.confirmedAt),
+                    era
                 )
         }
     }
 
+    /** The changes since [listing] are for the next request. */
+    private fun answer(listing: EncodedListing, receivedAt: ClockReading) = LogAnswer.Known(
+        listing.revision,
+        persistentListOf(),
+        receivedAt.since(listing.confirmedAt),
+        era,
+        listing.pages
+    )
+
     /** Drops the oldest changes beyond [MAXIMUM_CHARACTERS] or [MAXIMUM_ANSWERS]. */
     private fun trimmed(): StoreLog {
         var kept = changes
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreReader.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreReader.kt
@@ -70,6 +70,9 @@
     /** Its confirmation is old. */
     OLD,
 
+    /** It knows only an earlier era of the store. */
+    EARLIER_ERA,
+
     /** Its answer cannot be decoded, or holds no changes after the requested revision. */
     UNREADABLE
 }
--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectory.kt
@@ -25,6 +25,8 @@
  * @property returnedAt when this run of the target was listed for the first time, or again after
  *   its record was missing; it may have turned cold shortly before
  * @property coldUntil end of the time for which it stays cold, as it stated itself
+ * @property held what the store lists since its return from an older copy, although its record was
+ *   removed before; the copy may be older than the end of the target
  * @property wasLost whether a connection of this host to it failed or broke, and none was opened
  *   since; it may have restarted although its record does not say so
  */
@@ -33,7 +35,8 @@
     public val missingSince: MonotonicTime? = null,
     public val returnedAt: MonotonicTime? = null,
     public val coldUntil: MonotonicTime? = null,
-    public val wasLost: Boolean = false
+    public val wasLost: Boolean = false,
+    public val held: TargetRecord? = null
 ) {
     internal fun statedCold(duration: Duration, now: MonotonicTime): ListedTarget {
         if (!duration.isPositive()) return this
@@ -177,7 +180,13 @@
 /** Marks the record of [id] as missing from the store. */
 public fun TargetDirectory.removed(id: TargetId, now: MonotonicTime): TargetDirectory {
     val listed = targets[id] ?: return this
-    if (listed.missingSince != null) return this
+    if (listed.missingSince != null) {
+        return if (listed.held == null) {
+            this
+        } else {
+            copy(targets = targets.put(id, listed.copy(held = null)))
+        }
+    }
     return copy(targets = targets.put(id, listed.copy(missingSince = now)))
 }
 
@@ -230,5 +239,5 @@
 /** Longer than a target without a record goes on serving. */
 private val LONGEST_DEPARTURE = 10.minutes
 
-/** Longer than [TargetDirectory.RECOVERY_PERIOD], so that no record that may return is removed. */
-private val RECORD_RETENTION = 30.seconds
+/** Longer than a copy from which the store returns is old, so that it brings no target back. */
+private val RECORD_RETENTION = 2.minutes
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/EvacuationsTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/EvacuationsTest.kt
@@ -35,24 +35,24 @@
                 setOf(KRAKOW)
             ),
             Case("emptied again", krakow.takenBack(KRAKOW, 6).emptied(KRAKOW, 7), setOf(KRAKOW)),
-            Case("listed", none.listed(mapOf(KRAKOW to 5L), 9, at(0)), setOf(KRAKOW)),
+            Case("listed", none.listed(mapOf(KRAKOW to 5L), position(9), at(0)), setOf(KRAKOW)),
             Case(
                 "listing without it",
-                krakow.listed(emptyMap(), 9, at(0)),
+                krakow.listed(emptyMap(), position(9), at(0)),
                 emptySet(),
                 setOf(KRAKOW)
             ),
-            Case("listing before it", krakow.listed(emptyMap(), 4, at(0)), setOf(KRAKOW)),
-            Case("from a peer", none.received(KRAKOW, true, 5, at(0)), setOf(KRAKOW)),
+            Case("listing before it", krakow.listed(emptyMap(), position(4), at(0)), setOf(KRAKOW)),
+            Case("from a peer", none.received(KRAKOW, true, position(5), at(0)), setOf(KRAKOW)),
             Case(
                 "taken back at a peer",
-                krakow.received(KRAKOW, false, 6, at(0)),
+                krakow.received(KRAKOW, false, position(6), at(0)),
                 emptySet(),
                 setOf(KRAKOW)
             ),
             Case(
                 "from a peer that missed the removal",
-                none.read(6).received(KRAKOW, true, 5, at(0)),
+                none.read(position(6)).received(KRAKOW, true, position(5), at(0)),
                 emptySet()
             ),
             Case(
@@ -75,10 +75,10 @@
     }
 
     private fun Evacuations.emptied(dataCentre: DataCentre, revision: Long): Evacuations =
-        changed(dataCentre, true, revision, at(0))
+        changed(dataCentre, true, position(revision), at(0))
 
     private fun Evacuations.takenBack(dataCentre: DataCentre, revision: Long): Evacuations =
-        changed(dataCentre, false, revision, at(0))
+        changed(dataCentre, false, position(revision), at(0))
 
     /** Drops what was taken back, after a check that its number is bounded. */
     private fun Evacuations.onlyEmptied(): Evacuations {
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/ForwardingFixtures.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/ForwardingFixtures.kt
@@ -31,6 +31,9 @@
 internal fun clockReading(monotonic: Long, wall: Long = monotonic): ClockReading =
     ClockReading(at(monotonic), wall)
 
+/** Position of a store without eras, unless [era] is given. */
+internal fun position(revision: Long, era: Long = 0): StorePosition = StorePosition(era, revision)
+
 internal fun target(
     id: String,
     dataCentre: DataCentre = KRAKOW,
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreLogTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreLogTest.kt
@@ -24,7 +24,7 @@
     /** Listed at 0 up to revision 10; changes up to 12 and 15; nothing more up to 17 at 1,000. */
     private val log =
         StoreLog()
-            .listed(10, call(-4, 0))
+            .listed(position(10), call(-4, 0))
             .answered(10, 12, "a", call(0, 300, 800, hasChanges = true))
             .answered(12, 15, "b", call(400, 600, 800, hasChanges = true))
             .answered(15, 17, null, call(700, 1_000, 300))
@@ -61,9 +61,13 @@
             Case("never read", StoreLog(), 10, now, "NOT_READING", true),
             Case("wall clock set back", log, 17, clockReading(1_100, 0), "17 [] age 400", true)
         ).forEach { case ->
-            val answer = case.log.answer(case.after, case.receivedAt, case.receivedAt)
+            val answer = case.log.answer(position(case.after), case.receivedAt, case.receivedAt)
             assertEquals(case.answer, describe(answer), case.name)
-            assertEquals(!case.waits, case.log.hasNews(case.after, case.receivedAt), case.name)
+            assertEquals(
+                !case.waits,
+                case.log.hasNews(position(case.after), case.receivedAt),
+                case.name
+            )
         }
     }
 
@@ -99,7 +103,7 @@
         listOf(1 to 64, 100_000 to 6, 700_000 to 0).forEach { (characters, kept) ->
             val text = "x".repeat(characters)
             val full =
-                (1L..100L).fold(StoreLog().listed(0, call(0, 1))) { all, revision ->
+                (1L..100L).fold(StoreLog().listed(position(0), call(0, 1))) { all, revision ->
                     all.answered(revision - 1, revision, text, call(0, 1, hasChanges = true))
                 }
             assertEquals(kept, full.changes.size, "$characters")
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectoryTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/TargetDirectoryTest.kt
@@ -388,7 +388,7 @@
         isEmptied: Boolean = true,
         revision: Long = 5
     ): TargetDirectory =
-        copy(evacuations = evacuations.changed(dataCentre, isEmptied, revision, at(0)))
+        copy(evacuations = evacuations.changed(dataCentre, isEmptied, position(revision), at(0)))
 
     private fun TargetDirectory.departed(id: String): TargetDirectory =
         statedLeaving(target(id).incarnation, at(0))
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CrashGuard.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/CrashGuard.kt
@@ -55,7 +55,10 @@
      */
     public suspend fun mayTry(block: TraitBlock): Boolean {
         val now = state.clock.now()
-        if (now < block.trialDueAt || !isFirstCheck(block.trait, now)) return false
+        if (now < block.trialDueAt || state.recovery.value.mayMissClaims(now, TRIAL_DURATION)) {
+            return false
+        }
+        if (!isFirstCheck(block.trait, now)) return false
         return try {
             store.claim("trial-${block.trait.value}", TRIAL_DURATION).also { isClaimed ->
                 logEvent("trial-claimed") {
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/DataCentreEvacuations.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/DataCentreEvacuations.kt
@@ -7,12 +7,16 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.combine
+import kotlinx.coroutines.flow.distinctUntilChanged
 import kotlinx.coroutines.flow.filter
 import kotlinx.coroutines.flow.getAndUpdate
+import kotlinx.coroutines.flow.map
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.ServiceName
 import org.sapphirelever.core.forwarding.TargetRecord
 import org.sapphirelever.decisions.forwarding.Evacuations
+import org.sapphirelever.decisions.forwarding.StorePosition
 import org.sapphirelever.decisions.forwarding.TargetDirectory
 import org.sapphirelever.runtime.log.logEvent
 import org.sapphirelever.runtime.peer.PeerConnection
@@ -39,35 +43,39 @@
             if (before.states[dataCentre]?.isEmptied == changed.isEmptied) continue
             logEvent(if (changed.isEmptied) "data-centre-emptied" else "data-centre-taken-back") {
                 "data-centre" to dataCentre
-                "revision" to changed.revision
+                "revision" to changed.position.revision
+                "era" to changed.position.era
                 "targets" to targetsIn(dataCentre).size
                 "running" to running(dataCentre)
             }
         }
     }
 
-    /** Applies a change that the store reports. */
-    public fun apply(entry: StoreEntry.Evacuation) {
+    /** Applies a change that the store reports in its [era]. */
+    public fun apply(entry: StoreEntry.Evacuation, era: Long) {
         val now = state.clock.now()
+        val position = StorePosition(era, entry.revision)
         updateDirectory {
             it.copy(
                 evacuations =
-                    it.evacuations.changed(entry.dataCentre, entry.isEmptied, entry.revision, now)
+                    it.evacuations.changed(entry.dataCentre, entry.isEmptied, position, now)
             )
         }
     }
 
-    /** Records that all changes up to [revision] have been read from the store. */
-    public fun read(revision: Long) {
-        state.directory.update { it.copy(evacuations = it.evacuations.read(revision)) }
+    /** Records that all changes up to [position] have been read from the store. */
+    public fun read(position: StorePosition) {
+        state.directory.update { it.copy(evacuations = it.evacuations.read(position)) }
     }
 
     /** Applies what another host knows. */
     public fun receive(message: EvacuationsKnown) {
         val now = state.clock.now()
+        state.observeEra(message.era)
         updateDirectory { directory ->
             val received = message.evacuations.fold(directory.evacuations) { all, known ->
-                all.received(DataCentre(known.dataCentre), known.isEmptied, known.revision, now)
+                val position = StorePosition(known.era, known.revision)
+                all.received(DataCentre(known.dataCentre), known.isEmptied, position, now)
             }
             directory.copy(evacuations = received)
         }
@@ -75,7 +83,10 @@
 
     /** Sends the evacuations over [connection], now and after each change, until cancelled. */
     internal suspend fun sendTo(connection: PeerConnection) {
-        changes.filter { it.states.isNotEmpty() }.collect { connection.send(it.toMessage()) }
+        val eras = state.recovery.map { it.era ?: 0 }.distinctUntilChanged()
+        changes.combine(eras) { known, era -> known.toMessage(era) }
+            .filter { it.evacuations.isNotEmpty() || it.era > 0 }
+            .collect { connection.send(it) }
     }
 
     /** Targets of [dataCentre] that the store lists. */
@@ -100,8 +111,10 @@
 }
 
 /** These evacuations as a message to another host. */
-internal fun Evacuations.toMessage(): EvacuationsKnown = EvacuationsKnown(
+internal fun Evacuations.toMessage(era: Long): EvacuationsKnown = EvacuationsKnown(
     states.map { (dataCentre, known) ->
-        EvacuationMessage(dataCentre.value, known.isEmptied, known.revision)
-    }
+        val position = known.position
+        EvacuationMessage(dataCentre.value, known.isEmptied, position.revision, position.era)
+    },
+    era
 )
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/DataCentreStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/DataCentreStore.kt
@@ -9,9 +9,12 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.delay
 import org.sapphirelever.core.HostId
+import org.sapphirelever.decisions.forwarding.ClockReading
 import org.sapphirelever.decisions.forwarding.LostReaders
 import org.sapphirelever.decisions.forwarding.ReaderFailure
+import org.sapphirelever.decisions.forwarding.StorePosition
 import org.sapphirelever.decisions.forwarding.StoreSource
 import org.sapphirelever.decisions.forwarding.WatchCall
 import org.sapphirelever.decisions.forwarding.maximumReadyAge
@@ -36,20 +39,95 @@
     private var lostReaders = LostReaders()
     private var source: StoreSource = StoreSource.Store(isFollowed = false)
 
+    /** Position that this host has read up to. */
+    private var position = StorePosition.START
+
+    /** Lists the store, or takes its listing from another host after the store returned. */
     override suspend fun entries(): StoreEntries {
+        val relayed = if (state.isStoreSettling()) relayedListing() else null
+        val listing = relayed ?: listStore()
+        position = listing.position
+        return listing
+    }
+
+    private suspend fun listStore(): StoreEntries {
         val sentAt = state.readClock()
         val listing = store.entries()
         val call = WatchCall(sentAt, state.readClock(), Duration.ZERO, hasChanges = true)
-        relay.update { it.listed(listing.revision, call) }
+        relay.update { it.listed(listing.position, call, listing.pages) }
+        reads.listings.incrementAndGet()
         return listing
     }
 
+    /**
+     * The listing of one of the hosts that read the store for this one, so that not all hosts list
+     * it at the same time; null if this host is the first reader, or none of them answers.
+     */
+    private suspend fun relayedListing(): StoreEntries? {
+        val order = readerOrder(state.profile.dataCentre, state.hosts.value)
+        if (order.size < MINIMUM_HOSTS) return null
+        return order.takeWhile { it != self }
+            .take(LISTING_READERS)
+            .firstNotNullOfOrNull { listingOf(it) }
+    }
+
+    private suspend fun listingOf(reader: HostId): StoreEntries? {
+        repeat(LISTING_ATTEMPTS) {
+            val sentAt = state.readClock()
+            val reply =
+                try {
+                    follower.ask(reader, position)
+                } catch (failure: IOException) {
+                    logEvent("store-listing-failed") {
+                        "reader" to reader
+                        "failure" to failure.message
+                    }
+                    return null
+                }
+            reply.toListing(sentAt)?.let { return it }
+            // The reader learns of the return about when this host does.
+            delay(LISTING_PAUSE)
+        }
+        return null
+    }
+
+    private fun StoreChangesReply.toListing(sentAt: ClockReading): StoreEntries? {
+        val isLate = era < (state.recovery.value.era ?: 0)
+        if (refusal != null || listing.isEmpty() || isLate) return null
+        val call = relayedCall(sentAt)
+        if (isOld(call)) return null
+        val entries =
+            try {
+                store.decodeListing(listing)
+            } catch (_: StoreException) {
+                // The store's own listing tells whether it is unreadable.
+                return null
+            }
+        reads.relayed.incrementAndGet()
+        return StoreEntries(entries, StorePosition(era, revision), true, call = call)
+    }
+
+    private fun StoreChangesReply.relayedCall(sentAt: ClockReading): WatchCall {
+        val hasChanges = changes.isNotEmpty() || listing.isNotEmpty()
+        return WatchCall(
+            sentAt,
+            state.readClock(),
+            Duration.ZERO,
+            hasChanges,
+            ageMillis.milliseconds
+        )
+    }
+
+    private fun isOld(call: WatchCall): Boolean = call.answeredAt.since(call.confirmedAt) >
+        maximumRelayedAge(maximumReadyAge(state.profile.maximumRevocationDelay))
+
     /** Without a [wait], the store itself is asked, unless this host cannot reach it. */
     override suspend fun changes(
-        revision: Long,
+        after: StorePosition,
         wait: Duration,
         reader: AnswerReader
     ): StoreChanges {
+        position = after
         val now = state.clock.now()
         val order = readerOrder(state.profile.dataCentre, state.hosts.value)
         val chosen = lostReaders.source(self, order, now)
@@ -57,11 +135,11 @@
         val mustCall = wait == Duration.ZERO && !lostReaders.isAvoided(self, now)
         return when (chosen) {
             is StoreSource.Store ->
-                call(revision, if (mustCall) wait else chosen.bounded(wait), reader)
+                call(after, if (mustCall) wait else chosen.bounded(wait), reader)
 
             is StoreSource.Peer -> {
-                val relayed = if (mustCall) null else follow(chosen.reader, revision)
-                relayed?.let { StoreChanges.Whole(it) } ?: call(revision, Duration.ZERO, reader)
+                val relayed = if (mustCall) null else follow(chosen.reader, after)
+                relayed?.let { StoreChanges.Whole(it) } ?: call(after, Duration.ZERO, reader)
             }
         }
     }
@@ -70,11 +148,15 @@
     private fun StoreSource.Store.bounded(wait: Duration): Duration =
         if (isFollowed) minOf(wait, relay.log.readWait(state.readClock())) else wait
 
-    private suspend fun call(revision: Long, wait: Duration, reader: AnswerReader): StoreChanges {
+    private suspend fun call(
+        after: StorePosition,
+        wait: Duration,
+        reader: AnswerReader
+    ): StoreChanges {
         val sentAt = state.readClock()
         val changes =
             try {
-                store.changes(revision, wait, reader)
+                store.changes(after, wait, reader)
             } catch (failure: IOException) {
                 // The store may cut a call that waits.
                 if (wait == Duration.ZERO) recordLoss()
@@ -84,7 +166,11 @@
         if (changes !is StoreChanges.Whole) return changes
         val received = changes.entries
         val call = WatchCall(sentAt, state.readClock(), wait, received.entries.isNotEmpty())
-        relay.update { it.answered(revision, received.revision, received.encoded, call) }
+        // Changes of a later era do not continue the log; a listing follows.
+        if (received.position.era == after.era) {
+            val reached = received.position.revision
+            relay.update { it.answered(after.revision, reached, received.encoded, call) }
+        }
         lostReaders = lostReaders.regained(self)
         reads.storeCalls.incrementAndGet()
         return StoreChanges.Whole(received.copy(call = call))
@@ -95,46 +181,50 @@
         lostReaders = lostReaders.lost(self, state.clock.now())
     }
 
-    /** Asks [reader] for the changes after [revision]; null if the store has to be asked. */
-    private suspend fun follow(reader: HostId, revision: Long): StoreEntries? {
+    /** Asks [reader] for the changes after [after]; null if the store has to be asked. */
+    private suspend fun follow(reader: HostId, after: StorePosition): StoreEntries? {
         val sentAt = state.readClock()
         val reply =
             try {
-                follower.ask(reader, revision)
+                follower.ask(reader, after)
             } catch (failure: IOException) {
                 return fallBack(reader, ReaderFailure.UNREACHABLE, failure.message)
             }
-        when (reply.refusal) {
-            StoreRefusal.NOT_READING -> return fallBack(reader, ReaderFailure.NOT_READING)
-            StoreRefusal.GAP -> return fallBack(reader, ReaderFailure.GAP)
-            null -> Unit
-        }
-        val age = reply.ageMillis.milliseconds
-        val hasChanges = reply.changes.isNotEmpty()
-        val call = WatchCall(sentAt, state.readClock(), Duration.ZERO, hasChanges, age)
-        val confirmedAge = call.answeredAt.since(call.confirmedAt)
-        if (confirmedAge >
-            maximumRelayedAge(maximumReadyAge(state.profile.maximumRevocationDelay))
-        ) {
-            return fallBack(reader, ReaderFailure.OLD, "$confirmedAge")
+        state.observeEra(reply.era)
+        reply.objection()?.let { return fallBack(reader, it) }
+        val call = reply.relayedCall(sentAt)
+        if (isOld(call)) {
+            val age = call.answeredAt.since(call.confirmedAt)
+            return fallBack(reader, ReaderFailure.OLD, "$age")
         }
         val entries =
-            reply.toEntries(revision, call)
+            (if (reply.era > after.era) reply.toListing(sentAt) else reply.toEntries(after, call))
                 ?: return fallBack(reader, ReaderFailure.UNREADABLE)
         reads.relayed.incrementAndGet()
         return entries
     }
 
-    private fun StoreChangesReply.toEntries(after: Long, call: WatchCall): StoreEntries? {
-        if (changes.isNotEmpty() && revision <= after) return null
+    /** Why this reply is of no use, whatever it holds. */
+    private fun StoreChangesReply.objection(): ReaderFailure? = when (refusal) {
+        StoreRefusal.NOT_READING -> ReaderFailure.NOT_READING
+
+        StoreRefusal.GAP -> ReaderFailure.GAP
+
+        null ->
+            ReaderFailure.EARLIER_ERA.takeIf { era < (state.recovery.value.era ?: 0) }
+    }
+
+    private fun StoreChangesReply.toEntries(after: StorePosition, call: WatchCall): StoreEntries? {
+        if (changes.isNotEmpty() && revision <= after.revision) return null
         val entries =
             try {
-                changes.flatMap { store.decode(it.text, after) }
+                changes.flatMap { store.decode(it.text, after.revision) }
             } catch (_: StoreException) {
                 // The store's own answer tells whether it is unreadable.
                 return null
             }
-        return StoreEntries(entries.toPersistentList(), revision, false, call = call)
+        val reached = StorePosition(era, revision)
+        return StoreEntries(entries.toPersistentList(), reached, false, call = call)
     }
 
     private fun fallBack(
@@ -165,4 +255,12 @@
             "followed" to (chosen == StoreSource.Store(isFollowed = true))
         }
     }
+
+    private companion object {
+        /** With fewer hosts, none reads the store for others. */
+        const val MINIMUM_HOSTS = 3
+        const val LISTING_READERS = 2
+        const val LISTING_ATTEMPTS = 4
+        val LISTING_PAUSE = 150.milliseconds
+    }
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingHost.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
 import org.sapphirelever.core.ExitCode
@@ -49,6 +50,7 @@
     private val relay = StoreRelay(state, reads)
     private val feed =
         StoreFeed(DataCentreStore(store, StoreFollower(sockets, state), relay, state, reads), state)
+    private val publications = HostPublications(store, state)
     private val shutdown =
         GracefulShutdown(ShutdownTimes.within(profile.shutdownGracePeriod), clock, emptyList())
     private val metrics = ForwardingMetrics(state, reads)
@@ -59,7 +61,7 @@
 
     /** Starts a graceful shutdown and withdraws the announcement of this host. */
     public fun signal() {
-        feed.withdraw()
+        publications.withdraw()
         shutdown.signal()
     }
 
@@ -96,9 +98,11 @@
     private fun supervisorTree() = supervisor("forwarding-host", ROOT_POLICY, clock) {
         supervisor("store") {
             child("feed") { feed.follow() }
-            child("announcement") { feed.announce() }
-            child("crash-reports") { feed.publishCrashes() }
-            child("limit-reports") { feed.publishLimits() }
+            child("announcement") { publications.announce() }
+            child("crash-reports") { publications.publishCrashes() }
+            child("limit-reports") { publications.publishLimits() }
+            child("eras") { store.era.filterNotNull().collect { state.observeEra(it) } }
+            child("rewrites") { publications.followEras() }
         }
         child("settings") { settings.follow() }
         child("callers") { serveCallers() }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingMetrics.kt
@@ -79,9 +79,18 @@
         count("sapphirelever_prompt_tokens_read_total", "Tokens that engines probably read") {
             state.prompts.readTokens
         }
+        gauge("sapphirelever_store_era", "Latest known era of the store; -1 if it states none") {
+            state.recovery.value.era?.toDouble() ?: -1.0
+        }
+        count("sapphirelever_store_returns_total", "Known returns of the store from a copy") {
+            state.storeReturns.get()
+        }
         count("sapphirelever_store_calls_total", "Answered calls for changes to the store") {
             reads.storeCalls.get()
         }
+        count("sapphirelever_store_listings_total", "Listings of the store by this host") {
+            reads.listings.get()
+        }
         count("sapphirelever_store_relayed_total", "Answers about the store from another host") {
             reads.relayed.get()
         }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingState.kt
@@ -3,6 +3,7 @@
  */
 package org.sapphirelever.runtime.forward
 
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
@@ -10,7 +11,9 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.flow.getAndUpdate
+import kotlinx.coroutines.flow.update
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.MonotonicClock
 import org.sapphirelever.core.ServiceName
@@ -25,6 +28,7 @@
 import org.sapphirelever.decisions.forwarding.LoadReport
 import org.sapphirelever.decisions.forwarding.RetryBounds
 import org.sapphirelever.decisions.forwarding.SharedRetryBudget
+import org.sapphirelever.decisions.forwarding.StoreRecovery
 import org.sapphirelever.decisions.forwarding.TargetDirectory
 import org.sapphirelever.decisions.forwarding.TargetView
 import org.sapphirelever.decisions.keys.Fingerprint
@@ -62,6 +66,17 @@
     private val crashes = StateCell(CrashEvidence())
     private val mutableBlocks = MutableStateFlow(crashes.value.blocks)
 
+    private val mutableRecovery = MutableStateFlow(StoreRecovery())
+
+    /** The latest era of the store, and the recovery from its last return. */
+    public val recovery: StateFlow<StoreRecovery> = mutableRecovery.asStateFlow()
+
+    /** Number of returns of the store that this host learned of. */
+    public val storeReturns: AtomicLong = AtomicLong()
+
+    /** Signals that the announcement of this host should be written again. */
+    public val announcementDue: Channel<Unit> = Channel(Channel.CONFLATED)
+
     /** Data centres whose targets get nothing. */
     public val evacuations: DataCentreEvacuations = DataCentreEvacuations(this)
 
@@ -113,6 +128,36 @@
         return changed
     }
 
+    /** Records the [era] that the store or another host states. */
+    public fun observeEra(era: Long) {
+        val before = mutableRecovery.getAndUpdate { it.observed(era, clock.now()) }.era
+        if (before == null || era <= before) return
+        storeReturns.incrementAndGet()
+        logWarning("store-era-changed") {
+            "era" to era
+            "before" to before
+        }
+    }
+
+    /** Whether writers may lack the time to write again after the return of the store. */
+    public fun isStoreSettling(): Boolean = recovery.value.isSettling(clock.now(), hosts.value.size)
+
+    /** Marks [hosts] as missing in the store since its return. */
+    internal fun doubtHosts(hosts: Set<HostId>) {
+        mutableRecovery.update { it.copy(doubtedHosts = it.doubtedHosts.addAll(hosts)) }
+    }
+
+    /** Records that the store lists [host]. */
+    internal fun believeHost(host: HostId) {
+        if (host !in recovery.value.doubtedHosts) return
+        mutableRecovery.update { it.copy(doubtedHosts = it.doubtedHosts.remove(host)) }
+    }
+
+    /** The hosts that the store still lacks; none are doubted from then on. */
+    internal fun takeDoubtedHosts(): Set<HostId> = mutableRecovery
+        .getAndUpdate { it.copy(doubtedHosts = it.doubtedHosts.clear()) }
+        .doubtedHosts
+
     public fun readClock(): ClockReading = ClockReading(clock.now(), System.currentTimeMillis())
 
     public fun usableTargets(service: ServiceName): List<TargetRecord> =
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/ForwardingStore.kt
@@ -5,12 +5,15 @@
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.flow.StateFlow
 import org.sapphirelever.core.DataCentre
 import org.sapphirelever.core.HostId
 import org.sapphirelever.core.TargetId
 import org.sapphirelever.core.forwarding.ForwardingConfiguration
 import org.sapphirelever.core.forwarding.HostAnnouncement
 import org.sapphirelever.core.forwarding.TargetRecord
+import org.sapphirelever.decisions.forwarding.StorePosition
 import org.sapphirelever.decisions.forwarding.WatchCall
 import org.sapphirelever.wire.CrashReportMessage
 import org.sapphirelever.wire.LimitReportMessage
@@ -53,20 +56,22 @@
 }
 
 /**
- * Entries up to [revision].
+ * Entries up to [position].
  *
  * @property isFullListing whether these are all entries; any other known entry no longer exists
  * @property bytes size of the answer that held them
  * @property encoded changes as the store encoded them, for [ForwardingStore.decode]; null if there
  *   are none
+ * @property pages pages of a full listing as the store encoded them
  * @property call the call that they answer, if it differs from the requested one
  */
 public data class StoreEntries(
     public val entries: PersistentList<StoreEntry>,
-    public val revision: Long,
+    public val position: StorePosition,
     public val isFullListing: Boolean,
     public val bytes: Long = 0,
     public val encoded: String? = null,
+    public val pages: PersistentList<String> = persistentListOf(),
     public val call: WatchCall? = null
 )
 
@@ -97,23 +102,42 @@
     public fun readsOn(bytes: Long): Boolean
 }
 
-/** A lease in the store that this process holds. */
-public data class StoreLease(public val id: Long, public val lifetime: Duration)
+/**
+ * A lease in the store that this process holds.
+ *
+ * @property era era of the store that granted it; in a later one, its id may belong to another host
+ */
+public data class StoreLease(
+    public val id: Long,
+    public val lifetime: Duration,
+    public val era: Long = 0
+)
 
 /** The store rejected a call, or gave no usable answer. */
 public class StoreException(message: String, cause: Throwable? = null) :
     java.io.IOException(message, cause)
 
-/** Client of the store. Each call throws [StoreException] if it has no usable answer. */
+/**
+ * Client of the store. Each call throws [StoreException] if it has no usable answer; an answer of
+ * an earlier era than the latest one is none.
+ */
 public interface ForwardingStore {
+    /** The latest era that any answer stated, refusals included; null before the first answer. */
+    public val era: StateFlow<Long?>
+
     /** Lists all entries. */
     public suspend fun entries(): StoreEntries
 
     /**
-     * Entries changed after [revision]. If there are none, the store waits for the next change for
-     * up to [wait]. The answer is read while [reader] permits.
+     * Entries changed after [after]. If there are none, the store waits for the next change for up
+     * to [wait]. The answer is read while [reader] permits. Changes of a later era need not
+     * continue those up to [after].
      */
-    public suspend fun changes(revision: Long, wait: Duration, reader: AnswerReader): StoreChanges
+    public suspend fun changes(
+        after: StorePosition,
+        wait: Duration,
+        reader: AnswerReader
+    ): StoreChanges
 
     /**
      * Decodes the entries changed after [revision] from the [encoded] changes of an earlier answer,
@@ -121,6 +145,9 @@
      */
     public fun decode(encoded: String, revision: Long): PersistentList<StoreEntry>
 
+    /** Decodes the entries of a listing from its encoded [pages], which another host received. */
+    public fun decodeListing(pages: List<String>): PersistentList<StoreEntry>
+
     /** Announces [host] under a new lease of [lifetime]. */
     public suspend fun announce(
         host: HostId,
@@ -128,7 +155,7 @@
         lifetime: Duration
     ): StoreLease
 
-    /** Renews [lease]; false if it has expired. */
+    /** Renews [lease]; false if it has expired, or if the store is in a later era by now. */
     public suspend fun renew(lease: StoreLease): Boolean
 
     public suspend fun revoke(lease: StoreLease)
@@ -139,6 +166,9 @@
     /** Replaces the limits that [host] heard for [lifetime]. */
     public suspend fun publish(host: HostId, report: LimitReportMessage, lifetime: Duration)
 
-    /** Claims [name] for [lifetime]; false if a host, this one included, holds the claim. */
+    /**
+     * Claims [name] for [lifetime]; false if a host, this one included, holds the claim, or may
+     * hold it because the store has just entered a later era.
+     */
     public suspend fun claim(name: String, lifetime: Duration): Boolean
 }
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/HostStatus.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/HostStatus.kt
@@ -11,7 +11,8 @@
     val directory = state.directory.value
     val age = configuration.age(state.readClock())?.inWholeMilliseconds
     appendLine("configuration version=${configuration.version} age-ms=$age")
-    appendLine("store available=${!directory.storeUnavailable}")
+    val era = state.recovery.value.era
+    appendLine("store available=${!directory.storeUnavailable} era=$era")
     appendLine("targets known=${directory.targets.size}")
     val now = state.clock.now()
     directory.leaving().forEach { (target, statedAt) ->
@@ -23,8 +24,8 @@
         val targets = state.evacuations.targetsIn(dataCentre).size
         val running = state.evacuations.running(dataCentre)
         appendLine(
-            "emptied data-centre=$dataCentre for-ms=$age revision=${evacuation.revision} " +
-                "targets=$targets running=$running"
+            "emptied data-centre=$dataCentre for-ms=$age " +
+                "revision=${evacuation.position.revision} targets=$targets running=$running"
         )
     }
     directory.targets.values.map { it.record }.forEach { target ->
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/RequestShares.kt
@@ -115,6 +115,12 @@
     public fun publication(): LimitStatements =
         limits.update { it.copy(published = it.own) }.published
 
+    /** Lets the statements of this host be published again, as other hosts may lack them. */
+    public fun publishAgain() {
+        val forgotten = limits.update { it.copy(published = it.published.clear()) }
+        if (forgotten.isPublicationDue(state.clock.now())) reportDue.trySend(Unit)
+    }
+
     private fun TargetLimits.startedAt(target: TargetRecord): TargetLimits =
         started(target.incarnation, state.clock.now(), coldShare(target)) { placeFor(target) }
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFollower.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreFollower.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.SerializationException
 import org.sapphirelever.core.HostId
 import org.sapphirelever.decisions.forwarding.StoreLog
+import org.sapphirelever.decisions.forwarding.StorePosition
 import org.sapphirelever.runtime.peer.PeerConnection
 import org.sapphirelever.runtime.transport.Sockets
 import org.sapphirelever.wire.peer.EvacuationsKnown
@@ -22,14 +23,14 @@
     private var link: Link? = null
 
     /**
-     * Asks [reader] for the changes after [revision]. Throws [IOException] if it does not answer in
+     * Asks [reader] for the changes after [after]. Throws [IOException] if it does not answer in
      * time.
      */
-    public suspend fun ask(reader: HostId, revision: Long): StoreChangesReply {
+    public suspend fun ask(reader: HostId, after: StorePosition): StoreChangesReply {
         var isAnswered = false
         try {
             val connection = connectionTo(reader)
-            connection.send(StoreChangesRequest(revision), ANSWER_TIMEOUT)
+            connection.send(StoreChangesRequest(after.revision, after.era), ANSWER_TIMEOUT)
             val reply = receive(connection)
             isAnswered = true
             return reply
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreReads.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreReads.kt
@@ -12,6 +12,9 @@
     /** Answered calls for changes to the store. */
     public val storeCalls: AtomicLong = AtomicLong()
 
+    /** Listings of the store that this host made itself. */
+    public val listings: AtomicLong = AtomicLong()
+
     /** Answers that another host passed on to this one. */
     public val relayed: AtomicLong = AtomicLong()
 
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreRelay.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/StoreRelay.kt
@@ -13,6 +13,7 @@
 import org.sapphirelever.decisions.forwarding.LogAnswer
 import org.sapphirelever.decisions.forwarding.ReaderFailure
 import org.sapphirelever.decisions.forwarding.StoreLog
+import org.sapphirelever.decisions.forwarding.StorePosition
 import org.sapphirelever.runtime.peer.PeerConnection
 import org.sapphirelever.wire.peer.ChangesMessage
 import org.sapphirelever.wire.peer.StoreChangesReply
@@ -42,10 +43,12 @@
 
     private suspend fun answer(request: StoreChangesRequest): LogAnswer {
         val receivedAt = state.readClock()
+        state.observeEra(request.era)
+        val after = StorePosition(request.era, request.after)
         withTimeoutOrNull(log.holdTime(receivedAt)) {
-            logs.first { it.hasNews(request.after, receivedAt) }
+            logs.first { it.hasNews(after, receivedAt) }
         }
-        return log.answer(request.after, receivedAt, state.readClock())
+        return log.answer(after, receivedAt, state.readClock())
     }
 
     private fun LogAnswer.toMessage(): StoreChangesReply = when (this) {
@@ -54,7 +57,9 @@
                 revision = revision,
                 // A confirmation must not count as newer than it is.
                 ageMillis = age.inWholeMilliseconds + 1,
-                changes = changes.map { ChangesMessage(it.revision, it.text) }
+                changes = changes.map { ChangesMessage(it.revision, it.text) },
+                era = era,
+                listing = listing
             )
 
         is LogAnswer.Refused ->
@@ -64,7 +69,8 @@
                         StoreRefusal.GAP
                     } else {
                         StoreRefusal.NOT_READING
-                    }
+                    },
+                era = log.era
             )
     }
 
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/PieceMessage.kt
@@ -95,18 +95,20 @@
     @CborLabel(FieldLabel.FOURTH) public val piecesPerMilli: Double = 0.0
 )
 
-/** Whether [dataCentre] is to be emptied, as of [revision] of the store. */
+/** Whether [dataCentre] is to be emptied, as of [revision] of the store's [era]. */
 @Serializable
 public data class EvacuationMessage(
     @CborLabel(FieldLabel.FIRST) public val dataCentre: String,
     @CborLabel(FieldLabel.SECOND) public val isEmptied: Boolean,
-    @CborLabel(FieldLabel.THIRD) public val revision: Long
+    @CborLabel(FieldLabel.THIRD) public val revision: Long,
+    @CborLabel(FieldLabel.FOURTH) public val era: Long = 0
 )
 
-/** The evacuations that the sender knows; sent in both directions. */
+/** The evacuations and the [era] of the store that the sender knows; sent in both directions. */
 @Serializable
 public data class EvacuationsKnown(
-    @CborLabel(FieldLabel.FIRST) public val evacuations: List<EvacuationMessage> = emptyList()
+    @CborLabel(FieldLabel.FIRST) public val evacuations: List<EvacuationMessage> = emptyList(),
+    @CborLabel(FieldLabel.SECOND) public val era: Long = 0
 ) : PieceMessage
 
 /** Pieces, by rank, that will reach [service] from requests in an earlier stage. */
--- a/wire/src/main/kotlin/org/sapphirelever/wire/peer/StoreMessage.kt
+++ b/wire/src/main/kotlin/org/sapphirelever/wire/peer/StoreMessage.kt
@@ -12,11 +12,13 @@
 @Serializable
 public sealed interface StoreMessage : PeerMessage
 
-/** Requests the changes after the revision [after]. */
+/** Requests the changes after the revision [after] of the store's [era]. */
 @Serializable
 @SerialName("store-request")
-public data class StoreChangesRequest(@CborLabel(FieldLabel.FIRST) public val after: Long) :
-    StoreMessage
+public data class StoreChangesRequest(
+    @CborLabel(FieldLabel.FIRST) public val after: Long,
+    @CborLabel(FieldLabel.SECOND) public val era: Long = 0
+) : StoreMessage
 
 /** Why the receiver of a [StoreChangesRequest] does not know the changes. */
 @Serializable
@@ -40,10 +42,12 @@
 /**
  * Reply to a [StoreChangesRequest].
  *
- * @property revision revision up to which [changes] are complete
+ * @property revision revision of [era] up to which [changes] or [listing] are complete
  * @property ageMillis age of the store's confirmation when the request was received, rounded up;
  *   negative if the store confirmed later
  * @property refusal set if the sender does not know the changes; the other fields are unset then
+ * @property era era of the store that the sender reads
+ * @property listing pages of a listing in the store's encoding, if the request names an earlier era
  */
 @Serializable
 @SerialName("store-reply")
@@ -51,5 +55,7 @@
     @CborLabel(FieldLabel.FIRST) public val revision: Long = 0,
     @CborLabel(FieldLabel.SECOND) public val ageMillis: Long = 0,
     @CborLabel(FieldLabel.THIRD) public val changes: List<ChangesMessage> = emptyList(),
-    @CborLabel(FieldLabel.FOURTH) public val refusal: StoreRefusal? = null
+    @CborLabel(FieldLabel.FOURTH) public val refusal: StoreRefusal? = null,
+    @CborLabel(FieldLabel.FIFTH) public val era: Long = 0,
+    @CborLabel(FieldLabel.SIXTH) public val listing: List<String> = emptyList()
 ) : StoreMessage
