--- a/cli/src/test/kotlin/org/sapphirelever/cli/TargetNoticeSoakTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/TargetNoticeSoakTest.kt
@@ -40,6 +40,13 @@
         for (seed in 1..seeds) play(seed, unreadRecord = RECORD_TIME)
     }
 
+    /** Guards against a copy of the store that undoes what the operator and targets stated. */
+    @Test
+    fun `the same holds while the store returns from older copies`() {
+        val seeds = Integer.getInteger("soak.seeds", 1)
+        for (seed in 1..seeds) play(seed, unreadRecord = RECORD_TIME, withReturns = true)
+    }
+
     /** Guards against a burst to a target that restarts cold, before its record is read. */
     @Test
     @Tag("known-red")
@@ -48,7 +55,7 @@
     }
 
     /** Requests to a cold target are counted from [unreadRecord] after its restart on. */
-    private fun play(seed: Int, unreadRecord: Duration) {
+    private fun play(seed: Int, unreadRecord: Duration, withReturns: Boolean = false) {
         val targets = List(TARGETS) { NoticeTargetStandIn() }
         val entries =
             targets.indices.associate { "servers/i-$it" to entry(it, targets[it]) } +
@@ -56,7 +63,7 @@
         StoreStandIn(entries).use { store ->
             val profile = hostProfile("entry-1", store.endpoint).copy(coldTolerance = TOLERANCE)
             withForwardProcess(profile) { process, _ ->
-                exercise(Random(seed), profile, targets, store, process, unreadRecord)
+                exercise(Random(seed), profile, targets, store, process, unreadRecord, withReturns)
                 check(seed, targets)
                 assertTrue(process.isAlive, "seed $seed")
             }
@@ -88,7 +95,8 @@
         targets: List<NoticeTargetStandIn>,
         store: StoreStandIn,
         process: Process,
-        unreadRecord: Duration
+        unreadRecord: Duration,
+        withReturns: Boolean
     ) = coroutineScope {
         val end = TimeSource.Monotonic.markNow() + PLAY_TIME
         val numbers = AtomicInteger()
@@ -112,6 +120,26 @@
                 ProcessBuilder("kill", "-HUP", process.pid().toString()).start().waitFor()
             }
         }
+        if (withReturns) launchReturns(Random(random.nextInt()), end, store, outages)
+    }
+
+    private fun CoroutineScope.launchReturns(
+        random: Random,
+        end: TimeSource.Monotonic.ValueTimeMark,
+        store: StoreStandIn,
+        outages: Mutex
+    ) = launch {
+        while (end.hasNotPassedNow()) {
+            if (random.nextBoolean()) store.keepCopy()
+            delay(random.nextLong(MAXIMUM_GAP_MILLIS * 2))
+            outages.withLock {
+                val wasDown = store.isDown.getAndSet(true)
+                delay(random.nextLong(MAXIMUM_GAP_MILLIS / 2))
+                store.returnFromCopy()
+                store.isDown.set(wasDown)
+                if (!wasDown) delay(RECONNECTION_TIME)
+            }
+        }
     }
 
     private fun CoroutineScope.launchNotices(
