Check streams for a crash of their target up to their end

Cause: a stream that had sent events for a second counted as harmless. Its break was not checked for a crash, and the request was recorded as a success.

Change: a second of events clears the shared parts of the prompt only. The request itself stays a suspect until its stream is complete. Since targets read the parts before the first event, a break after a second says nothing of them.

--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/TargetAttempt.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.launch
 import org.sapphirelever.core.MonotonicTime
 import org.sapphirelever.decisions.forwarding.EngineChoice
+import org.sapphirelever.decisions.suspicion.RequestTrait
 import org.sapphirelever.runtime.log.logEvent
 
 /**
@@ -37,7 +38,7 @@
     private val target = choice.target
     private val forecast = choice.forecast
     private var firstEventAt: MonotonicTime? = null
-    private var hasSurvived = false
+    private var isSustained = false
 
     suspend fun run(): AttemptOutcome {
         val remaining = admitted.deadline - state.clock.now()
@@ -80,9 +81,7 @@
                 AttemptOutcome.NotRun("not-sent: ${outcome.reason}", sent = false)
 
             is CallOutcome.Lost -> {
-                if (outcome.broken && !hasSurvived) {
-                    guard.checkForCrash(request.id, admitted.traits, target)
-                }
+                if (outcome.broken) guard.checkForCrash(request.id, suspectTraits(), target)
                 AttemptOutcome.MayHaveRun("lost: ${outcome.reason}")
             }
         }
@@ -147,12 +146,17 @@
             firstEventAt = now
             prompt?.begin()
             onFirstEvent()
-        } else if (!hasSurvived && now - startedAt >= SUSTAINED_ANSWER) {
-            hasSurvived = true
-            guard.survived(admitted.traits)
+        } else if (!isSustained && now - startedAt >= SUSTAINED_ANSWER) {
+            isSustained = true
+            // The request itself may still crash the target, up to the end of its stream.
+            guard.survived(admitted.traits.filterNot { it.isWholeRequest })
         }
     }
 
+    /** The traits that may be why the target crashed during this request. */
+    private fun suspectTraits(): List<RequestTrait> =
+        admitted.traits.filter { !isSustained || it.isWholeRequest }
+
     private fun logChoice(remaining: Duration) {
         val view = state.targetViews[target.id]
         logEvent("target-chosen") {
@@ -184,8 +188,8 @@
         const val FIRST_SERVER_ERROR = 500
 
         /**
-         * Time for which a target must send events before the request counts as harmless; a target
-         * that crashes does so when it begins its answer.
+         * Time for which a target must send events before the parts of the prompt count as
+         * harmless; a target that they crash crashes when it begins its answer.
          */
         val SUSTAINED_ANSWER = 1.seconds
     }
