Ask other hosts for a listing only when behind their era

Found by reading: a host whose history was dropped during a recovery asked the readers for a listing that they do not have, for up to 4 s, before it listed the store itself. It asks now only if its own position is of an earlier era, three times a reader. A follower that states no era, as a version before this one, gets GAP instead of a listing that it could not read and would take for confirmed.

--- a/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreLog.kt
+++ b/decisions/src/main/kotlin/org/sapphirelever/decisions/forwarding/StoreLog.kt
@@ -146,7 +146,7 @@
             contact == null || !isCurrent(now) || after.era > era ->
                 LogAnswer.Refused(ReaderFailure.NOT_READING)
 
-            after.era < era -> listing?.let { answer(it, receivedAt) }
+            after.era < era -> listing?.takeIf { after.era > 0 }?.let { answer(it, receivedAt) }
                 ?: LogAnswer.Refused(ReaderFailure.GAP)
 
             after.revision < start -> LogAnswer.Refused(ReaderFailure.GAP)
--- a/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreLogTest.kt
+++ b/decisions/src/test/kotlin/org/sapphirelever/decisions/forwarding/StoreLogTest.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
 import org.sapphirelever.decisions.forwarding.LogAnswer.Known
 import org.sapphirelever.decisions.forwarding.LogAnswer.Refused
 
@@ -71,10 +72,32 @@
         }
     }
 
+    /** Guards against followers of an earlier era that miss what the return of the store undid. */
+    @Test
+    fun `a follower of an earlier era gets the listing with which the era began`() {
+        val pages = persistentListOf("p")
+        val returned = log.copy(era = 4).listed(position(8, era = 5), call(990, 1_000), pages)
+        val followed = returned.answered(8, 9, "c", call(1_020, 1_050, hasChanges = true))
+        val now = clockReading(1_100)
+        listOf(
+            Triple("of the earlier era", position(17, era = 4), "8 [] age 110 [p]"),
+            Triple("of the era before", position(3, era = 3), "8 [] age 110 [p]"),
+            Triple("without an era", position(17), "GAP"),
+            Triple("of the same era", position(8, era = 5), "9 [9] age 80"),
+            Triple("of a later era", position(2, era = 6), "NOT_READING")
+        ).forEach { (name, after, expected) ->
+            assertEquals(true, followed.hasNews(after, now), name)
+            assertEquals(expected, describe(followed.answer(after, now, now)), name)
+        }
+        val listedAgain = followed.listed(position(9, era = 5), call(990, 1_000), pages)
+        assertEquals("GAP", describe(listedAgain.answer(position(17, era = 4), now, now)))
+    }
+
     private fun describe(answer: LogAnswer): String = when (answer) {
         is Known -> {
             val age = answer.age.inWholeMilliseconds
-            "${answer.revision} ${answer.changes.map { it.revision }} age $age"
+            val pages = answer.listing.takeIf { it.isNotEmpty() }?.let { " $it" }.orEmpty()
+            "${answer.revision} ${answer.changes.map { it.revision }} age $age$pages"
         }
 
         is Refused -> answer.failure.name
--- a/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/DataCentreStore.kt
+++ b/runtime/src/main/kotlin/org/sapphirelever/runtime/forward/DataCentreStore.kt
@@ -44,7 +44,8 @@
 
     /** Lists the store, or takes its listing from another host after the store returned. */
     override suspend fun entries(): StoreEntries {
-        val relayed = if (state.isStoreSettling()) relayedListing() else null
+        val isBehind = position.era < (state.recovery.value.era ?: 0)
+        val relayed = if (isBehind && state.isStoreSettling()) relayedListing() else null
         val listing = relayed ?: listStore()
         position = listing.position
         return listing
@@ -260,7 +261,7 @@
         /** With fewer hosts, none reads the store for others. */
         const val MINIMUM_HOSTS = 3
         const val LISTING_READERS = 2
-        const val LISTING_ATTEMPTS = 4
+        const val LISTING_ATTEMPTS = 3
         val LISTING_PAUSE = 150.milliseconds
     }
 }
