--- a/cli/src/test/kotlin/org/sapphirelever/cli/StoreReturnSoakTest.kt
+++ b/cli/src/test/kotlin/org/sapphirelever/cli/StoreReturnSoakTest.kt
@@ -140,27 +140,41 @@
         }
     }
 
-    /** Freezes, kills and restarts hosts, one at a time. */
+    /** Freezes, stops, kills and restarts hosts, one at a time. */
     private suspend fun disturb(random: Random, hosts: List<Host>) {
         while (true) {
             delay(random.nextLong(MAXIMUM_GAP_MILLIS * 2))
             val host = hosts.random(random)
             host.disturbances.withLock {
-                if (random.nextBoolean()) {
-                    signal("STOP", host.process)
-                    delay(random.nextLong(MAXIMUM_GAP_MILLIS))
-                    signal("CONT", host.process)
-                } else {
-                    host.process.destroyForcibly().waitFor()
-                    host.accepted.set(0)
-                    host.process = start(host.profile)
-                    while (!isReady(host.profile)) delay(POLL_MILLIS)
+                when (random.nextInt(DISTURBANCES)) {
+                    0 -> {
+                        signal("STOP", host.process)
+                        delay(random.nextLong(MAXIMUM_GAP_MILLIS))
+                        signal("CONT", host.process)
+                    }
+
+                    1 -> {
+                        signal("TERM", host.process)
+                        host.process.waitFor()
+                        restart(host)
+                    }
+
+                    else -> {
+                        host.process.destroyForcibly().waitFor()
+                        restart(host)
+                    }
                 }
                 host.disturbedAt.set(TimeSource.Monotonic.markNow())
             }
         }
     }
 
+    private suspend fun restart(host: Host) {
+        host.accepted.set(0)
+        host.process = start(host.profile)
+        while (!isReady(host.profile)) delay(POLL_MILLIS)
+    }
+
     private suspend fun check(
         seed: Int,
         host: Host,
@@ -226,6 +240,7 @@
         const val SERVED = 200
         const val UNKNOWN_KEY = 401
         const val CHANGES = 5
+        const val DISTURBANCES = 3
         const val MANY = 30
         const val MAXIMUM_GAP_MILLIS = 1_800L
         val PLAY_TIME: Duration = 40.seconds
